--- /dev/null
+++ b/rushladder/benchlink/birth.py
@@ -0,0 +1,64 @@
+"""Turns the settings of an instance's start into what the module's parts ask for, in our words and times."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from rushladder.benchlink.wire import WireError, tenths
+from rushladder.interface import Channel, Guarantee, LevelUnit, Product, Repeat
+
+REPEATS = {"retryable": Repeat.INQUIRY_LIKE, "dedup": Repeat.REFERENCED, "fragile": Repeat.ONCE_ONLY}
+UNITS = {"ratio": LevelUnit.RATIO, "rps": LevelUnit.RATE, "silent": LevelUnit.IGNORED}
+
+
+def birth(boot: Mapping[str, Any]) -> dict[str, Any]:
+    """The keyword arguments of a manager."""
+    try:
+        return _birth(boot)
+    except KeyError as missing:
+        raise WireError(f"NewInstance: boot_info lacks {missing}") from None
+    except (TypeError, ValueError, AttributeError) as trouble:
+        raise WireError(f"NewInstance: boot_info cannot be read: {trouble}") from None
+
+
+def _birth(boot: Mapping[str, Any]) -> dict[str, Any]:
+    fam, rules, limits = boot["family_info"], boot["guarantees"], boot["limits"]
+    return {
+        "me": int(boot["me"]),
+        "managers": int(boot["group_size"]),
+        "zone": str(boot["my_zone"]),
+        "zones": tuple(str(zone) for zone in boot["azs"]),
+        "products": _products(boot["lanes"], fam),
+        "channel": Channel(
+            lines_per_s=float(fam["egress_per_s"]), pending_max=float(fam["pending_max"]),
+            head=float(fam["head"]), message_cap=int(fam.get("update_cap", 0)),
+            cap_span=tenths(fam.get("counted_over", 0)), usual_way=tenths(fam["propagation"]),
+            longest_way=tenths(fam["push_delay_max"])),
+        "guarantee": Guarantee(
+            bare=tenths(fam["bare"]), drain_grace=tenths(rules["drain_grace"]),
+            cold_time=tenths(rules["cold"]), cold_from=float(rules["cold_from"]),
+            fall_multiple=float(rules["overload_factor"]), fall_for=tenths(rules["overload_for"]),
+            ask_within=tenths(rules.get("ask_within", 0)),
+            dropped_stay_open=bool(rules.get("dropped_stay_open", False))),
+        "level_unit": UNITS[fam["throttle_by"]],
+        "retry_wait": float(fam["per_try"]),
+        "asks_list": boot["membership_mode"] == "subscribe",
+        "may_probe": bool(limits["probes"]),
+        "may_tell": bool(limits["may_tell"]),
+        "slices": int(fam["key_ranges"]),
+    }
+
+
+def _products(lanes: list[Mapping[str, Any]], fam: Mapping[str, Any]) -> tuple[Product, ...]:
+    writers = fam.get("writers") or [False] * len(lanes)
+    bound = fam.get("zone_bound") or [False] * len(lanes)
+    return tuple(
+        Product(
+            name=str(lane["name"]), sla_time=tenths(lane["target"]), expiry=tenths(lane["deadline"]),
+            rev=float(lane["points"]), late_part=float(lane.get("late_worth", 0.0)),
+            repeat=REPEATS[lane["idempotency"]], group=str(lane.get("group", "all")),
+            window=tenths(lane.get("repeat_window", 0)), writes=bool(writers[place]),
+            home_only=bool(bound[place]), models=frozenset(lane.get("only_kinds") or ()),
+            zones=frozenset(lane.get("only_zones") or ()))
+        for place, lane in enumerate(lanes))
--- /dev/null
+++ b/rushladder/interface.py
@@ -0,0 +1,270 @@
+"""What a manager is told and what it may order, in the operators' words.
+
+The decision module (`brain.py`) sees only these types; an adapter fills them from its own wire and carries out
+the orders of `Host`. Nothing here chooses anything. Every time is in whole tenths of a millisecond.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum
+from typing import Protocol
+
+
+class Availability(IntEnum):
+    """What the list says of a worker's process."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class Repeat(Enum):
+    """Whether a txn may run again."""
+
+    INQUIRY_LIKE = "inquiry-like"
+    REFERENCED = "referenced"
+    ONCE_ONLY = "once-only"
+
+
+class Retry(IntEnum):
+    """When a proxy tries another worker."""
+
+    NEVER = 0
+    UNSENT = 1
+    ONCE = 2
+    TWICE = 3
+
+
+class LevelUnit(Enum):
+    """What the figure of a gate means at the proxies."""
+
+    RATIO = "ratio"
+    RATE = "rate"
+    IGNORED = "ignored"
+
+
+class ListKind(IntEnum):
+    """How a listing relates to what the manager already holds."""
+
+    CHANGES = 0
+    FULL = 1
+    CACHED = 2
+    FAILED = 3
+
+
+class ProbeResult(IntEnum):
+    """How a probe ended."""
+
+    OK = 0
+    ERROR = 255
+    TURNED_AWAY = 254
+    TIMED_OUT = 253
+    UNREACHABLE = 252
+    RESET = 251
+    CANCELLED = 250
+    MOOT = 249
+
+
+@dataclass(eq=False)
+class Product:
+    """A class of txn."""
+
+    name: str
+    sla_time: int
+    expiry: int
+    rev: float
+    late_part: float
+    repeat: Repeat
+    group: str  # "all", "zone" or "cell": the workers that drop a repeat of a referenced txn
+    window: int  # for how long they drop it, from the first try that might have run
+    writes: bool = False
+    home_only: bool = False  # may go only to workers of the proxy's own zone
+    models: frozenset[str] = frozenset()  # the only machine models it may go to; empty: any
+    zones: frozenset[str] = frozenset()  # the only zones it may go to; empty: any
+
+
+@dataclass(eq=False)
+class Worker:
+    """A server that answers txns. The decision module extends it with what it measures."""
+
+    name: str
+    zone: str
+    model: str
+    cell: int
+
+
+@dataclass(eq=False)
+class Proxy:
+    """A plain proxy that has joined this manager. The decision module extends it likewise."""
+
+    name: str
+    zone: str
+    usual_rate: float
+
+
+@dataclass(frozen=True)
+class Channel:
+    """The manager's channel to its proxies."""
+
+    lines_per_s: float
+    pending_max: float
+    head: float  # lines that each message costs beside its own
+    message_cap: int  # messages to one proxy within `cap_span`; 0: no such limit
+    cap_span: int
+    usual_way: int
+    longest_way: int
+
+
+@dataclass(frozen=True)
+class Guarantee:
+    """The figures of the rules."""
+
+    bare: int
+    drain_grace: int
+    cold_time: int
+    cold_from: float
+    fall_multiple: float
+    fall_for: int
+    ask_within: int
+    dropped_stay_open: bool
+
+
+@dataclass(frozen=True)
+class Entry:
+    """One line of the list of workers."""
+
+    worker: Worker
+    availability: Availability
+    size: float
+    started_at: int  # 0: long ago
+
+
+# What a manager is told.
+
+
+@dataclass(frozen=True)
+class Listing:
+    kind: ListKind
+    version: int
+    entries: Sequence[Entry] = ()
+
+
+@dataclass(frozen=True)
+class Reminder:
+    token: int
+
+
+@dataclass(frozen=True)
+class Probed:
+    worker: Worker
+    result: ProbeResult
+    elapsed: int
+    load: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class PeerWord:
+    peer: int
+    data: bytes
+
+
+@dataclass(frozen=True)
+class Joined:
+    proxy: Proxy
+    bare: bool  # it holds only the table it drew at its start
+
+
+@dataclass(frozen=True)
+class Left:
+    proxy: Proxy
+
+
+@dataclass(frozen=True)
+class Tries:
+    """What the joined proxies of a zone met at a worker; `mean` is that of the settled tries."""
+
+    worker: Worker
+    zone: str
+    many: int
+    voided: int
+    covers: int
+    mean: int
+    load: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Arrivals:
+    """The txns of a product that came to a proxy, repeats and declined ones too."""
+
+    proxy: Proxy
+    product: Product
+    many: int
+    voided: int
+    covers: int
+
+
+@dataclass(frozen=True)
+class Applied:
+    proxy: Proxy
+    number: int
+    elapsed: int
+
+
+@dataclass(frozen=True)
+class SliceGiven:
+    slice: int
+    mine: bool
+
+
+@dataclass(frozen=True)
+class SliceLine:
+    slice: int
+    worker: Worker
+    weight: float
+
+
+@dataclass(frozen=True)
+class SliceArrivals:
+    slice: int
+    product: Product
+    many: int
+    voided: int
+    covers: int
+
+
+Event = (
+    Listing | Reminder | Probed | PeerWord | Joined | Left | Tries | Arrivals | Applied
+    | SliceGiven | SliceLine | SliceArrivals
+)
+
+
+class Host(Protocol):
+    """What a manager may order. All orders given while one batch of events is taken go out together."""
+
+    def now(self) -> int: ...
+
+    def weigh(self, tbl: int, worker: Worker, weight: float) -> None: ...
+
+    def empty(self, tbl: int) -> None: ...
+
+    def bind(self, proxy: Proxy, tbl: int, products: Sequence[Product]) -> None: ...
+
+    def hold_back(self, worker: Worker, out: bool) -> None: ...
+
+    def gate(self, tbl: int | None, products: Sequence[Product], level: float, retry: Retry) -> None: ...
+
+    def checkpoint(self, number: int, everyone: bool) -> None: ...
+
+    def probe(self, worker: Worker) -> None: ...
+
+    def tell(self, peer: int | None, data: bytes) -> None: ...
+
+    def watch(self, on: bool) -> None: ...
+
+    def ask_list(self) -> None: ...
+
+    def wake(self, after: int, token: int) -> None: ...
+
+    def log(self, words: str) -> None: ...
--- /dev/null
+++ b/tests/test_brain.py
@@ -0,0 +1,148 @@
+"""Stories of failures that were met, one for each: without its defence each of them fails."""
+
+import unittest
+
+from rushladder.interface import Availability, LevelUnit, ListKind, Retry
+from tests.fakehost import ASK, PAY, SECOND, FakeHost
+
+
+class ListStories(unittest.TestCase):
+    def test_a_server_that_drains_is_withdrawn_at_once_and_for_each_joiner(self) -> None:
+        host = FakeHost()
+        host.join(*host.gateways[:2])
+        gone = host.servers[0]
+        self.assertIn((gone, True), host.named("hold_back", host.list(
+            ListKind.CHANGES, gone, state=Availability.DRAINING)))
+        self.assertIn((gone, True), host.named("hold_back", host.join(host.gateways[2])))
+
+    def test_a_server_missing_from_a_whole_list_is_gone(self) -> None:
+        host = FakeHost()
+        host.join()
+        self.assertIn((host.servers[0], True), host.named("hold_back", host.list(
+            ListKind.FULL, *host.servers[1:])))
+
+    def test_a_restarted_server_comes_back_with_little_weight_and_ramps(self) -> None:
+        host = FakeHost()
+        host.join()
+        host.run(3)
+        full = host.lines(0)[host.servers[0]]
+        host.list(ListKind.CHANGES, host.servers[0], started_at=host.clock)
+        host.run(2)
+        cold = host.lines(0)[host.servers[0]]
+        host.run(16)
+        self.assertLess(cold, 0.5 * full)
+        self.assertGreater(host.lines(0)[host.servers[0]], 0.9 * full)
+
+    def test_a_failed_call_is_made_again_inside_the_time_that_binds(self) -> None:
+        host = FakeHost(asks_list=True)
+        host.list(ListKind.FAILED)
+        self.assertTrue(host.named("watch", host.run(3)))
+
+
+class HealthStories(unittest.TestCase):
+    def test_a_hung_server_is_withdrawn_and_let_in_again(self) -> None:
+        host = FakeHost()
+        host.join()
+        host.run(5)
+        host.hung.add(host.servers[1])
+        self.assertIn((host.servers[1], True), host.named("hold_back", host.run(6)))
+        host.hung.clear()
+        self.assertIn((host.servers[1], False), host.named("hold_back", host.run(12)))
+
+    def test_where_all_are_slow_and_void_none_is_sick(self) -> None:
+        host = FakeHost()
+        host.join()
+        host.run(5)
+        host.slow = dict.fromkeys(host.servers, 6.0)
+        host.void = dict.fromkeys(host.servers, 0.6)
+        self.assertFalse(host.named("hold_back", host.run(10)))
+
+    def test_the_last_usable_lines_are_never_withdrawn(self) -> None:
+        host = FakeHost(servers=2)
+        host.join()
+        host.run(3)
+        host.hung.update(host.servers)
+        host.run(20)
+        self.assertNotEqual({server for server, out in host.named("hold_back") if out}, set(host.servers))
+
+
+class LevelStories(unittest.TestCase):
+    def overloaded(self, **more: object) -> FakeHost:
+        host = FakeHost(**more)  # type: ignore[arg-type]
+        host.join()
+        host.run(6)
+        host.slow = dict.fromkeys(host.servers, 4.0)
+        host.per_second = 40
+        return host
+
+    def test_levels_are_set_only_under_overload(self) -> None:
+        host = FakeHost()
+        host.join()
+        host.run(10)
+        self.assertTrue(all(level == 1 for _, _, level, _ in host.named("gate")))
+
+    def test_own_declines_do_not_spiral_the_levels_down_and_they_rise_again(self) -> None:
+        host = self.overloaded()
+        host.run(30)
+        low = min(level for _, _, level, _ in host.named("gate"))
+        self.assertLess(low, 1)
+        self.assertGreater(low, 0.05)
+        host.slow.clear()
+        host.per_second = 10
+        host.run(20)
+        self.assertEqual(host.named("gate")[-1][2], 1)
+
+    def test_a_few_sick_servers_are_no_overload(self) -> None:
+        host = FakeHost()
+        host.join()
+        host.run(5)
+        host.void = {host.servers[0]: 0.9}
+        host.slow = {host.servers[1]: 9.0}
+        host.run(10)
+        self.assertTrue(all(level == 1 for _, _, level, _ in host.named("gate")))
+
+    def test_rates_leave_the_busy_proxies_what_the_idle_ones_do_not_use(self) -> None:
+        host = self.overloaded(level_unit=LevelUnit.RATE, zones=("a",))
+        busy = host.gateways.pop()
+        host.join(busy)
+        host.run(12)
+        self.assertTrue([1 for _, _, level, _ in host.named("gate") if level < 1e5])
+
+    def test_nothing_that_may_have_run_is_tried_again(self) -> None:
+        host = FakeHost()
+        host.join()
+        host.run(10)
+        self.assertEqual({retry for _, products, _, retry in host.named("gate") if PAY in products},
+                         {Retry.UNSENT})
+
+
+class ChannelStories(unittest.TestCase):
+    def test_no_more_lines_are_sent_than_have_drained(self) -> None:
+        host = FakeHost(pending=200.0)
+        host.join()
+        host.applies = False
+        for k in range(20):
+            host.slow = {host.servers[k % 6]: 5.0}
+            host.run(1)
+        self.assertLess(len(host.named("weigh")), 200 / len(host.gateways))
+
+    def test_no_proxy_gets_more_messages_than_its_cap(self) -> None:
+        host = FakeHost(cap=12)
+        host.join()
+        sent = []
+        for k in range(30):
+            host.slow = {host.servers[k % 6]: 5.0}
+            sent.append(bool(host.named("checkpoint", host.run(1))))
+        self.assertLessEqual(max(sum(sent[k:k + 10]) for k in range(20)), 12)
+
+    def test_a_joiner_gets_its_tables_and_levels_at_once(self) -> None:
+        host = FakeHost()
+        orders = host.join(host.gateways[0])
+        self.assertTrue(host.named("bind", orders))
+        self.assertTrue(host.named("weigh", orders))
+        self.assertEqual(len(host.named("gate", orders)), len((ASK, PAY)))
+        self.assertLess(host.clock, 2000 * SECOND)
+
+
+if __name__ == "__main__":
+    unittest.main()
