Sick only when probes and txns both go unanswered, or when it voids alone

Guards against any shared jam being blamed on single servers; harms where a sick server still settles a few txns while probes fail (it then only loses weight).

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -1,7 +1,7 @@
 """All decisions of a rushladder manager: tables, levels, withdrawals, probes.
 
-An adapter (`benchlink` on the bench, the manager's own network code later) makes one `Manager` for each process,
-gives `take` every event of a batch and calls `close` at its end. Types and the `Host` are in `interface.py`.
+An adapter (`benchlink` on the bench, the manager's own network code later) makes one `Manager` a process, gives
+`take` every event of a batch and calls `close` at its end. Its interface is `interface.py`.
 """
 
 from __future__ import annotations
@@ -9,68 +9,25 @@
 import struct
 from collections import deque
 from collections.abc import Callable, Sequence
-from enum import Enum, auto
+from enum import Enum
 from random import Random
 
 from rushladder.interface import (
-    Applied,
-    Arrivals,
-    Availability,
-    Channel,
-    Entry,
-    Event,
-    Guarantee,
-    Host,
-    Joined,
-    Left,
-    LevelUnit,
-    Listing,
-    ListKind,
-    PeerWord,
-    Probed,
-    ProbeResult,
-    Product,
-    Proxy,
-    Reminder,
-    Retry,
-    Tries,
-    Worker,
+    Applied, Arrivals, Availability, Channel, Entry, Event, Guarantee, Host, Joined, Left, LevelUnit,
+    Listing, ListKind, PeerWord, Probed, ProbeResult, Product, Proxy, Reminder, Repeat, Retry, Tries, Worker,
 )
 from rushladder.ring import Ring
 
 SECOND = 10_000
 
 
-class Standing(Enum):
-    """Where a server stands with this manager."""
-
-    LEFT = auto()  # drains or is gone: withdrawn, whatever tables still name it
-    COLD = auto()
-    FIT = auto()
-    OUT = auto()  # withdrawn as sick
-    TRIAL = auto()  # let in again with little weight
-
-
-class Sign(Enum):
-    LISTED = auto()
-    STARTED = auto()
-    LEAVING = auto()
-    WARM = auto()
-    SICK = auto()
-    REST = auto()  # its time out is over and probes answer
-    SOUND = auto()  # its weight is back
-
-
-class Load(Enum):
-    CALM = auto()
-    SHED = auto()
-    EASE = auto()
-
-
-class Heat(Enum):
-    HOT = auto()
-    MILD = auto()
-    COOL = auto()
+# Where a server stands with this manager. LEFT: it drains or is gone, and is withdrawn whatever tables still name
+# it; OUT: withdrawn as sick; TRIAL: let in again with little weight.
+Standing = Enum("Standing", "LEFT COLD FIT OUT TRIAL")
+# REST: its time out is over and probes answer; SOUND: its weight is back.
+Sign = Enum("Sign", "LISTED STARTED LEAVING WARM SICK REST SOUND")
+Load = Enum("Load", "CALM SHED EASE")
+Heat = Enum("Heat", "HOT MILD COOL")
 
 
 class Server(Worker):
@@ -107,9 +64,9 @@
 class Outbox:
     """Counts the lines that wait in the channel and the messages to each proxy, for rule 5."""
 
-    # Half the limit: what can't be put off fits twice, so one such load always finds room beside what waits.
+    # Half the limit: what can't be put off fits twice, so it always finds room beside what waits.
     USED = 0.5
-    # Messages of the cap kept free for withdrawals and joins: one list change a beat for two seconds, and one.
+    # Messages of the cap kept free for withdrawals and joins: about one list change in three seconds.
     SPARE = 3
 
     def __init__(self, host: Host, channel: Channel) -> None:
@@ -253,13 +210,15 @@
         # Four seconds of reports: some 30 tries a server, so that a mean is good to about a seventh.
         seen = {server: server.tries.total(now, 4) for server in serving}
         many, voided, settled, time = (sum(sums[k] for sums in seen.values()) for k in range(4))
+        recent = {server: server.tries.total(now, 2) for server in serving}
         answering = sum(server.bad_probes == 0 for server in serving) >= len(serving) / 2
         for server in serving:
             n, v, s, t = seen[server]
             others = (voided - v) / max(1.0, many - n)
-            # Three in ten above the others: far from chance at four voids, and what a sick one shows at once.
-            by_tries = v >= 4 and v / max(1.0, n) > 0.3 + 1.5 * others
-            by_probes = server.bad_probes >= 2 and answering
+            # Mostly voids where the others have few: sick. Where voids are common the servers are full.
+            by_tries = v >= 4 and v > 0.35 * n and others < 0.1
+            # No answer to probes nor to txns: under load probes wait in the queue, but txns still settle.
+            by_probes = server.bad_probes >= 2 and answering and recent[server][2] == 0
             if (by_tries or by_probes) and self._can_spare(server):
                 self._turn(server, Sign.SICK)
                 continue
--- a/rushladder/interface.py
+++ b/rushladder/interface.py
@@ -1,7 +1,7 @@
 """What a manager is told and what it may order, in the operators' words.
 
-The decision module (`brain.py`) sees only these types; an adapter fills them from its own wire and carries out
-the orders of `Host`. Nothing here chooses anything. Every time is in whole tenths of a millisecond.
+The decision module (`brain.py`) sees only these types; an adapter fills them from its own wire and carries
+out the orders of `Host`. Nothing here chooses anything. Every time is in whole tenths of a millisecond.
 """
 
 from __future__ import annotations
