Weights follow observed latency; slow voids lose weight instead of a withdrawal

(2) Cause: true speeds differ from listed weights by a third, so listed shares fill some servers at 0.8 of capacity. Guards against any lasting difference in speed; harms where latency differs for a reason other than load, such as a costlier mix.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -36,7 +36,7 @@
     def __init__(self, name: str, zone: str, model: str, cell: int) -> None:
         super().__init__(name, zone, model, cell)
         self.size, self.started_at, self.standing = 1.0, 0, Standing.LEFT
-        self.factor = 1.0  # the part of its listed weight that its health leaves it
+        self.factor = self.pace = 1.0  # the part of its listed weight that its health leaves it
         self.out_until, self.out_for = 0, 0
         self.bad_probes = self.good_probes = 0
         self.forget()
@@ -178,7 +178,7 @@
         self._outbox.line(list(self._outbox.gateways))
 
     def _begin(self, server: Server) -> None:
-        server.factor, server.out_for = 1.0, 0
+        server.factor, server.pace, server.out_for = 1.0, 1.0, 0
         self._admit(server)
 
     def _exclude(self, server: Server) -> None:
@@ -215,22 +215,23 @@
         for server in serving:
             n, v, s, t = seen[server]
             others = (voided - v) / max(1.0, many - n)
-            # Mostly voids where the others have few: sick. Where voids are common the servers are full.
-            by_tries = v >= 4 and v > 0.35 * n and others < 0.1
+            mean = time / settled if settled else 0.0
+            ratio = t / s / mean if s >= 5 and mean else 1.0
+            # Mostly quick voids where the others have few: sick. One that voids and is slow is only too full,
+            # and loses weight below; where voids are common, all are too full.
+            by_tries = v >= 4 and v > 0.35 * n and others < 0.1 and ratio < 1.5
             # No answer to probes nor to txns: under load probes wait in the queue, but txns still settle.
             by_probes = server.bad_probes >= 2 and answering and recent[server][2] == 0
             if (by_tries or by_probes) and self._can_spare(server):
                 self._turn(server, Sign.SICK)
                 continue
-            mean = time / settled if settled else 0.0
-            ratio = t / s / mean if s >= 5 and mean else 1.0
-            # The companion: a tenth of weight lost a period while well above the table (a third, twice the
-            # noise of such a mean), and a tenth for each further such step; restored at half that pace.
-            if ratio > 1.33:
-                server.factor = max(0.1, server.factor * max(0.5, 1 - 0.1 * (ratio - 0.33)))
-            elif server.factor < 1:
-                server.factor = min(1.0, server.factor + (0.1 if server.standing is Standing.TRIAL else 0.05))
-            if server.factor >= 1:
+            # The companion: a tenth of weight lost a period while well above the table's latency or voids. Listed
+            # weights are rough, so the aim is the table's latency over the server's, smoothed over some 7 s.
+            if s >= 5:
+                server.pace += 0.15 * (min(2.0, 1 / ratio) - server.pace)
+            aim = min(1.6, max(0.3, server.pace))
+            server.factor += max(-0.1, min(0.1, aim - server.factor))
+            if server.factor >= aim:
                 self._turn(server, Sign.SOUND)
 
     def _can_spare(self, server: Server) -> bool:
