--- a/rushladder/benchlink/birth.py
+++ b/rushladder/benchlink/birth.py
@@ -25,9 +25,7 @@
 def _birth(boot: Mapping[str, Any]) -> dict[str, Any]:
     fam, rules, limits = boot["family_info"], boot["guarantees"], boot["limits"]
     return {
-        "me": int(boot["me"]),
         "managers": int(boot["group_size"]),
-        "zone": str(boot["my_zone"]),
         "zones": tuple(str(zone) for zone in boot["azs"]),
         "products": _products(boot["lanes"], fam),
         "channel": Channel(
@@ -42,7 +40,6 @@
             ask_within=tenths(rules.get("ask_within", 0)),
             dropped_stay_open=bool(rules.get("dropped_stay_open", False))),
         "level_unit": UNITS[fam["throttle_by"]],
-        "retry_wait": float(fam["per_try"]),
         "asks_list": boot["membership_mode"] == "subscribe",
         "may_probe": bool(limits["probes"]),
         "may_tell": bool(limits["may_tell"]),
--- a/rushladder/benchlink/hosting.py
+++ b/rushladder/benchlink/hosting.py
@@ -123,7 +123,8 @@
 
     def _arrivals(self, got: dict[str, Any], _: Pages) -> Event | None:
         gateway, product = self._gateways.get(got["proxy"]), self._product(got["band"])
-        return Arrivals(gateway, product, got["many"], got["failed"], tenths(got["covers"])) if gateway else None
+        return Arrivals(gateway, product, got["many"], got["failed"],
+                        tenths(got["covers"])) if gateway else None
 
     def _applied(self, got: dict[str, Any], _: Pages) -> Event | None:
         gateway = self._gateways.get(got["proxy"])
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -48,10 +48,10 @@
         self.servers = [Server(f"s{k}", zones[k % len(zones)], "m", 0) for k in range(servers)]
         self.gateways = [Gateway(f"g{k}", zones[k % len(zones)], 10.0) for k in range(gateways)]
         settings: dict[str, Any] = {
-            "me": 0, "managers": 1, "zone": zones[0], "zones": zones, "products": products,
+            "managers": 1, "zones": zones, "products": products,
             "channel": Channel(1500.0, pending, 3.0, cap, 10 * SECOND, 2000, 5000),
             "guarantee": Guarantee(80_000, 40_000, 150_000, 0.2, 3.0, 20_000, 100_000, False),
-            "level_unit": LevelUnit.RATIO, "retry_wait": 1.2, "asks_list": False, "may_probe": True,
+            "level_unit": LevelUnit.RATIO, "asks_list": False, "may_probe": True,
             "may_tell": False, "slices": 0}
         self.manager = Manager(self, 7, **(settings | more))
         self.roster(ListKind.FULL, *self.servers)
