--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -23,7 +23,7 @@
 Standing = Enum("Standing", "LEFT COLD FIT OUT TRIAL")
 # REST: its time out is over and probes answer; SOUND: its weight is back.
 Sign = Enum("Sign", "LISTED STARTED LEAVING WARM SICK REST SOUND")
-Load = Enum("Load", "CALM SHED EASE")
+Load = Enum("Load", "CALM SHED")
 Heat = Enum("Heat", "HOT MILD COOL")
 
 
@@ -258,6 +258,7 @@
         self._departed: deque[tuple[int, list[float]]] = deque()
         self._told: dict[int, tuple[int, list[float]]] = {}
         self.smoothed: dict[Product, float] = dict.fromkeys(products, 0.0)
+        self.now: dict[Product, float] = dict.fromkeys(products, 0.0)
         self.own_part = 1.0
 
     def arrivals(self, event: Arrivals) -> None:
@@ -279,7 +280,7 @@
             here = sum(self.rate(gateway, product) for gateway in self._outbox.gateways)
             away = sum(rates[place] for _, rates in self._departed)
             joined, gone = joined + here, gone + away
-            before = self.smoothed[product]
+            before, self.now[product] = self.smoothed[product], here + away
             self.smoothed[product] = before + 0.3 * (here + away - before) if before else here + away
         self.own_part = joined / (joined + gone) if joined else 1.0
 
@@ -306,77 +307,79 @@
 class Levels:
     """The design's overload shares, with the least that keeps them from spiralling down."""
 
-    PERIOD = 2 * SECOND  # the design's
+    DRAIN = 4 * SECOND  # time in which a queue above its aim is to be worked off: a few reports long
 
     def __init__(self, host: Host, fleet: Fleet, demand: Demand, products: Sequence[Product]) -> None:
         self._host, self._fleet, self._demand, self._products = host, fleet, demand, products
-        self._due = host.now() + self.PERIOD  # a fresh manager lets all in for one period
+        self._due = host.now() + 2 * SECOND  # the design: a fresh manager lets all in for one period
         self._load = Load.CALM
         self._shares: dict[Product, float] = {}
-        self._quiet = self._ratio = self._best = self._budget = 0.0  # no budget: everything is let in
+        self._quiet = self._latency = self._bar = self._best = 0.0
+        self._settled = self._budget = 0.0  # no budget: everything is let in
 
     def period(self) -> None:
-        if self._host.now() < self._due:
-            return
-        self._due = self._host.now() + self.PERIOD
         self._demand.period()
-        heat, settled = self._heat()
-        # The best of late, forgotten by a twentieth a period: own declines and client retries lower successes
-        # without lowering what the servers can do, and levels would follow them down.
-        self._best = max(settled, 0.95 * self._best)
-        self._load, effect = LOADS[self._load, heat]
-        effect(self, settled)
+        heat = self._heat()
+        if self._host.now() >= self._due:
+            self._load, effect = LOADS[self._load, heat]
+            effect(self)
 
-    def _heat(self) -> tuple[Heat, float]:
+    def _heat(self) -> Heat:
         """Overload as the design words it, but by the median server: a few sick ones are no lost capacity."""
         seen = [sums for server in self._fleet.in_service()
                 if (sums := server.tries.total(self._host.now(), 3))[0] >= 3]
-        settled = sum(sums[2] for sums in seen) / 3
+        self._settled = sum(sums[2] for sums in seen) / 3
+        # The best of late, forgotten by a fortieth a period: own declines and client retries lower successes
+        # without lowering what the servers can do, and levels would follow them down.
+        self._best = max(self._settled, 0.975 * self._best)
         voids = sorted(sums[1] / sums[0] for sums in seen) or [0.0]
         times = sorted(sums[3] / sums[2] for sums in seen if sums[2]) or [0.0]
-        latency = times[len(times) // 2]
+        self._latency = times[len(times) // 2]
         demand = self._demand.smoothed
         sla = sum(p.sla_time * rate for p, rate in demand.items()) / (sum(demand.values()) or 1.0)
         # Twice the quiet average, yet at least two fifths of the SLA time: below that hardly a txn is late.
-        bar = max(2 * self._quiet, 0.4 * sla)
-        self._ratio = latency / bar if bar else 0.0
-        if self._load is Load.CALM and self._ratio < 1:
-            self._quiet += 0.1 * (latency - self._quiet) if self._quiet else latency
-        hot = voids[len(voids) // 2] > 0.05 or self._ratio > 1
-        return (Heat.HOT if hot else Heat.MILD if self._ratio > 0.75 else Heat.COOL), settled
+        self._bar = max(2 * self._quiet, 0.4 * sla)
+        if self._load is Load.CALM and self._latency < self._bar:
+            self._quiet += 0.05 * (self._latency - self._quiet) if self._quiet else self._latency
+        if voids[len(voids) // 2] > 0.05 or self._latency > self._bar:
+            return Heat.HOT
+        return Heat.COOL if all(self.level(product) >= 1 for product in self._products) else Heat.MILD
 
     # Load: LOADS is the table of state, input, next state, effect.
 
-    def _hold(self, settled: float) -> None:
-        self._divide(self._budget)
+    def _lift(self) -> None:
+        self._budget = 0.0
+
+    def _impose(self) -> None:
+        self._share(min(0.9, self._lean()), 0.0)  # the design's reserve
 
-    def _impose(self, settled: float) -> None:
-        # 0.9 is the design's reserve; more is held back the longer the queues are, or they would not drain.
-        reserve = min(0.4, 0.1 * max(1.0, 2 * self._ratio - 1))
-        self._divide((1 - reserve) * max(settled, 0.7 * self._best) * self._demand.own_part)
+    def _ease(self) -> None:
+        # From the budget in force: what was let in arrives late and thinned, and would hold it down for good.
+        self._share(min(1.15, self._lean()), self._budget)
 
-    def _ease(self, settled: float) -> None:
-        self._divide(1.15 * max(self._budget, settled))
-        if all(self.level(product) >= 1 for product in self._products):
-            self._load, self._budget = Load.CALM, 0.0
+    def _lean(self) -> float:
+        """Above 1 while latency is below the bar, under 1 so far that the queue above it drains in time."""
+        return max(0.5, 1 + (0.8 * self._bar - self._latency) / self.DRAIN)
 
-    def _divide(self, budget: float) -> None:
-        self._budget, demand = budget, self._demand.smoothed
-        total = sum(demand.values()) or 1.0
-        self._shares = {p: max(0.05 * budget, budget * demand[p] / total) for p in self._products}
+    def _share(self, lean: float, least: float) -> None:
+        demand, base = self._demand, max(self._settled, 0.7 * self._best)
+        self._budget = lean * max(least, base * demand.own_part)
+        total = sum(demand.smoothed.values()) or 1.0
+        self._shares = {p: max(0.05 * self._budget, self._budget * rate / total)
+                        for p, rate in demand.smoothed.items()}
 
     def level(self, product: Product) -> float:
-        demand = self._demand.smoothed[product]
+        demand = self._demand.now[product]
         return min(1.0, self._shares[product] / demand) if self._budget and demand else 1.0
 
 
-LOADS: dict[tuple[Load, Heat], tuple[Load, Callable[[Levels, float], None]]] = {
-    **{(load, Heat.HOT): (Load.SHED, Levels._impose) for load in Load},
-    **{(Load.CALM, heat): (Load.CALM, Levels._hold) for heat in (Heat.MILD, Heat.COOL)},
-    (Load.SHED, Heat.MILD): (Load.SHED, Levels._hold),
-    (Load.EASE, Heat.MILD): (Load.EASE, Levels._hold),
-    (Load.SHED, Heat.COOL): (Load.EASE, Levels._ease),
-    (Load.EASE, Heat.COOL): (Load.EASE, Levels._ease),
+LOADS: dict[tuple[Load, Heat], tuple[Load, Callable[[Levels], None]]] = {
+    (Load.CALM, Heat.HOT): (Load.SHED, Levels._impose),
+    (Load.CALM, Heat.MILD): (Load.CALM, Levels._lift),
+    (Load.CALM, Heat.COOL): (Load.CALM, Levels._lift),
+    (Load.SHED, Heat.HOT): (Load.SHED, Levels._impose),
+    (Load.SHED, Heat.MILD): (Load.SHED, Levels._ease),
+    (Load.SHED, Heat.COOL): (Load.CALM, Levels._lift),
 }
 
 
