--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -38,7 +38,7 @@
 
     def forget(self, factor: float) -> None:
         """Starts its record anew; `factor` is the part of its listed weight that it gets."""
-        self.factor, self.pace = factor, 1.0
+        self.factor, self.pace, self.heard = factor, 1.0, 0
         self.tries = Ring(SECOND, 6, 4)  # many, voided, settled, their time; longer than any window asked for
         self.bad_probes = self.good_probes = 0
 
@@ -199,9 +199,11 @@
             # The companion: a tenth of weight lost a period while above the table's latency, and restored. As
             # listed weights are rough, the aim is the table's latency over the server's, smoothed over 7 s.
             if s >= 5:
-                server.pace += 0.15 * (min(2.0, 1 / ratio) - server.pace)
+                server.heard += 1
+                server.pace += max(0.15, 1 / (1 + server.heard)) * (min(2.0, 1 / ratio) - server.pace)
             aim = min(1.6, max(0.3, server.pace))
-            server.factor += max(-0.1, min(0.1, aim - server.factor))
+            step = 0.1 if server.standing is Standing.TRIAL else max(0.1, 1 / (1 + server.heard))
+            server.factor += max(-step, min(step, aim - server.factor))
             if server.factor >= aim:
                 self._turn(server, Sign.SOUND)
 
