--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -50,7 +50,8 @@
 class Gateway(Proxy):
     """A proxy with what this manager sent it and heard of it."""
 
-    def begin(self, cap_span: int, products: Sequence[Product]) -> None:
+    def begin(self, now: int, cap_span: int, products: Sequence[Product]) -> None:
+        self.joined_at = now
         self.unapplied: deque[tuple[int, float]] = deque()
         self.messages = Ring(cap_span // 20 + 1, 21)  # fine enough that the cap loses a twentieth at most
         self.came = {product: Ring(SECOND, 6) for product in products}
@@ -268,6 +269,11 @@
             event.proxy.came[event.product].add(self._host.now(), event.many)
 
     def rate(self, gateway: Gateway, product: Product) -> float:
+        if self._host.now() < gateway.joined_at + (self.WINDOW + 1) * SECOND:
+            # Not a whole window heard yet: its usual rate, by the products' mix. Taken for idle, the proxies
+            # that come over from a lost manager would be given next to no rate, and decline everything.
+            total = sum(self.smoothed.values())
+            return gateway.usual_rate * (self.smoothed[product] / total if total else 1 / len(self._products))
         return gateway.came[product].total(self._host.now(), self.WINDOW)[0] / self.WINDOW
 
     def left(self, gateway: Gateway) -> None:
@@ -415,7 +421,7 @@
                         for place, zone in enumerate(zones) for k, group in enumerate(groups.values())]
 
     def join(self, gateway: Gateway) -> None:
-        if not any(table.lines for table in self._tables):
+        if not all(table.wanted for table in self._tables):
             self._plan()
         for table in self._tables:
             if table.zone == gateway.zone:
@@ -461,14 +467,16 @@
     def _wants(self, capacity: dict[Server, float]) -> dict[Table, float]:
         """Demand by table; a zone of which nothing is heard is taken to be as busy as the rest."""
         demand = self._demand.everywhere()
-        wants = {table: sum(demand[table.zone, p] for p in table.products) for table in self._tables}
-        heard = {table.zone for table in self._tables if wants[table] > 0}
+        # Rule 1: a product nobody asks for yet still gets its lines.
+        wants = {table: max(1e-3, sum(demand[table.zone, product] for product in table.products))
+                 for table in self._tables}
+        heard = {zone for (zone, _), rate in demand.items() if rate > 0}
         known = sum(size for server, size in capacity.items() if server.zone in heard)
         kinds = len(self._tables) // len({table.zone for table in self._tables})
         for table in self._tables:
             if table.zone not in heard:
                 size = sum(size for server, size in capacity.items() if server.zone == table.zone)
-                wants[table] = max(1e-3, size * (sum(wants.values()) / known if known else 1.0) / kinds)
+                wants[table] = size * (sum(wants.values()) / known if known else 1.0) / kinds
         return wants
 
     @staticmethod
@@ -580,7 +588,7 @@
     def _joined(self, event: Joined) -> None:
         gateway = event.proxy
         assert isinstance(gateway, Gateway)
-        gateway.begin(self._cap_span, self._products)
+        gateway.begin(self._host.now(), self._cap_span, self._products)
         self._outbox.gateways[gateway] = None
         self._tables.join(gateway)
         self._fleet.tell_joiner(gateway)
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -44,7 +44,7 @@
         self.slow: dict[Server, float] = {}
         self.void: dict[Server, float] = {}
         self.hung: set[Server] = set()
-        self.products = products
+        self.products, self.joined = products, set[Gateway]()
         self.servers = [Server(f"s{k}", zones[k % len(zones)], "m", 0) for k in range(servers)]
         self.gateways = [Gateway(f"g{k}", zones[k % len(zones)], 10.0) for k in range(gateways)]
         settings: dict[str, Any] = {
@@ -69,9 +69,11 @@
         return self.give(Listing(kind, 1, [Entry(server, state, 1.0, started_at) for server in servers]))
 
     def join(self, *gateways: Gateway) -> list[tuple[Any, ...]]:
+        self.joined.update(gateways or self.gateways)
         return self.give(*(Joined(gateway, True) for gateway in gateways or self.gateways))
 
     def leave(self, gateway: Gateway) -> list[tuple[Any, ...]]:
+        self.joined.discard(gateway)
         return self.give(Left(gateway))
 
     def run(self, seconds: int) -> list[tuple[Any, ...]]:
@@ -79,7 +81,8 @@
         for _ in range(seconds):
             self.clock += SECOND
             came: list[Event] = [Arrivals(gateway, product, self.per_second, 0, SECOND)
-                                 for gateway in self.gateways for product in self.products]
+                                 for gateway in self.gateways if gateway in self.joined
+                                 for product in self.products]
             for server in self.servers:
                 voided = 20 if server in self.hung else round(20 * self.void.get(server, 0.0))
                 mean = round(1500 * self.slow.get(server, 1.0)) if voided < 20 else 0
@@ -108,7 +111,8 @@
     def checkpoint(self, number: int, everyone: bool) -> None:
         self.orders.append(("checkpoint", number))
         for gateway in self.gateways if self.applies else []:
-            self._later(2000, Applied(gateway, number, 2000))
+            if gateway in self.joined:
+                self._later(2000, Applied(gateway, number, 2000))
 
     def _later(self, after: int, event: Event) -> None:
         self._due = [(at, other) for at, other in self._due if at > self.clock]
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -1,8 +1,10 @@
 """Stories of failures that were met, one for each: without its defence each of them fails."""
 
+import struct
 import unittest
+from dataclasses import replace
 
-from rushladder.interface import Availability, LevelUnit, ListKind, Retry
+from rushladder.interface import Availability, LevelUnit, ListKind, PeerWord, Retry
 from tests.fakehost import ASK, PAY, SECOND, FakeHost
 
 
@@ -39,6 +41,14 @@
         self.assertTrue(host.named("watch", host.run(3)))
 
 
+    def test_a_product_nobody_asks_for_has_lines_at_a_joiner(self) -> None:
+        host = FakeHost(products=(ASK, replace(PAY, models=frozenset("m"))), managers=2, may_tell=True)
+        host.give(PeerWord(1, struct.pack("<4H", 0, 0, 100, 0)))
+        host.run(1)
+        bound = host.named("bind", host.join(host.gateways[1]))
+        self.assertTrue(all(host.lines(tbl) for _, tbl, _ in bound))
+
+
 class HealthStories(unittest.TestCase):
     def test_a_hung_server_is_withdrawn_and_let_in_again(self) -> None:
         host = FakeHost()
