Budget never under 0.65 of the best of late

Guards against any stale sign of overload; harms where capacity really falls by more than a third and stays there, until the best is forgotten.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -371,8 +371,8 @@
         return max(0.5, 1 + (0.8 * self._bar - self._latency) / self.DRAIN)
 
     def _share(self, lean: float, least: float) -> None:
-        demand, base = self._demand, max(self._settled, 0.7 * self._best)
-        self._budget = lean * max(least, base * demand.own_part)
+        demand = self._demand
+        self._budget = max(lean * max(least, self._settled * demand.own_part), 0.65 * self._best * demand.own_part)
         total = sum(demand.smoothed.values()) or 1.0
         self._shares = {p: max(0.05 * self._budget, self._budget * rate / total)
                         for p, rate in demand.smoothed.items()}
