--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -39,9 +39,15 @@
     def forget(self, factor: float) -> None:
         """Starts its record anew; `factor` is the part of its listed weight that it gets."""
         self.factor, self.pace, self.heard = factor, 1.0, 0
-        self.tries = Ring(SECOND, 6, 4)  # many, voided, settled, their time; longer than any window asked for
+        self.tries: dict[str, Ring] = {}  # by zone of the proxies
         self.bad_probes = self.good_probes = 0
 
+    def seen(self, now: int, buckets: int) -> tuple[float, ...]:
+        """Tries, voided, settled, the settled ones' time, and how many settle a second."""
+        totals = [ring.total(now, buckets) for ring in self.tries.values()]
+        many, voided, settled, time = (sum(sums[k] for sums in totals) for k in range(4))
+        return many, voided, settled, time, sum(SECOND * sums[2] / sums[4] for sums in totals if sums[4])
+
     def may_run(self, product: Product) -> bool:
         return (not product.models or self.model in product.models) and (
             not product.zones or self.zone in product.zones)
@@ -54,7 +60,7 @@
         self.joined_at = now
         self.unapplied: deque[tuple[int, float]] = deque()
         self.messages = Ring(cap_span // 20 + 1, 21)  # fine enough that the cap loses a twentieth at most
-        self.came = {product: Ring(SECOND, 6) for product in products}
+        self.came = {product: Ring(SECOND, 6, 2) for product in products}  # many, time covered
 
 
 class Outbox:
@@ -183,17 +189,17 @@
                 self._turn(server, Sign.REST)
         serving = self.in_service()
         # Four seconds of reports: some 30 tries a server, so that a mean is good to about a seventh.
-        seen = {server: server.tries.total(now, 4) for server in serving}
+        seen = {server: server.seen(now, 4) for server in serving}
         many, voided, settled, time = (sum(sums[k] for sums in seen.values()) for k in range(4))
         answering = 2 * sum(server.bad_probes == 0 for server in serving) >= len(serving)
-        for server, (n, v, s, t) in seen.items():
+        for server, (n, v, s, t, _) in seen.items():
             others = (voided - v) / max(1.0, many - n)
             ratio = t / s / (time / settled) if s >= 5 and t else 1.0
             # Mostly quick voids where the others have few: sick. One that voids and is slow is only too full,
             # and loses weight below; where voids are common, all are too full.
             by_tries = v >= 4 and v > 0.35 * n and others < 0.1 and ratio < 1.5
             # No answer to probes nor to txns: under load probes wait in the queue, but txns still settle.
-            by_probes = server.bad_probes >= 2 and answering and server.tries.total(now, 2)[2] == 0
+            by_probes = server.bad_probes >= 2 and answering and server.seen(now, 2)[2] == 0
             if (by_tries or by_probes) and self._can_spare(server):
                 self._turn(server, Sign.SICK)
                 continue
@@ -219,7 +225,8 @@
     def tries(self, event: Tries) -> None:
         assert isinstance(event.worker, Server)
         settled = event.many - event.voided
-        event.worker.tries.add(self._host.now(), event.many, event.voided, settled, settled * event.mean)
+        ring = event.worker.tries.setdefault(event.zone, Ring(SECOND, 6, 5))
+        ring.add(self._host.now(), event.many, event.voided, settled, settled * event.mean, event.covers)
 
     def probed(self, event: Probed) -> None:
         server = event.worker
@@ -266,7 +273,7 @@
 
     def arrivals(self, event: Arrivals) -> None:
         if event.proxy in self._outbox.gateways:
-            event.proxy.came[event.product].add(self._host.now(), event.many)
+            event.proxy.came[event.product].add(self._host.now(), event.many, event.covers)
 
     def rate(self, gateway: Gateway, product: Product) -> float:
         if self._host.now() < gateway.joined_at + (self.WINDOW + 1) * SECOND:
@@ -274,7 +281,9 @@
             # that come over from a lost manager would be given next to no rate, and decline everything.
             total = sum(self.smoothed.values())
             return gateway.usual_rate * (self.smoothed[product] / total if total else 1 / len(self._products))
-        return gateway.came[product].total(self._host.now(), self.WINDOW)[0] / self.WINDOW
+        # By the time that the lines cover, not by the clock: they come late, merged, and out of step with it.
+        many, covers = gateway.came[product].total(self._host.now(), self.WINDOW)
+        return SECOND * many / covers if covers else 0.0
 
     def left(self, gateway: Gateway) -> None:
         self._departed.append((self._host.now(), [self.rate(gateway, p) for p in self._products]))
@@ -335,8 +344,8 @@
     def _heat(self) -> Heat:
         """Overload as the design words it, but by the median server: a few sick ones are no lost capacity."""
         seen = [sums for server in self._fleet.in_service()
-                if (sums := server.tries.total(self._host.now(), 3))[0] >= 3]
-        self._settled = sum(sums[2] for sums in seen) / 3
+                if (sums := server.seen(self._host.now(), 3))[0] >= 3]
+        self._settled = sum(sums[4] for sums in seen)
         # The best of late, forgotten by a fortieth a period: own declines and client retries lower successes
         # without lowering what the servers can do, and levels would follow them down.
         self._best = max(self._settled, 0.975 * self._best)
