--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -372,8 +372,9 @@
 
     def _ease(self) -> None:
         # From the budget in force: what was let in arrives late and thinned, and would hold it down for good.
-        # Fast, as nothing hints at a limit: with latency at half its aim a manager is back in some seconds.
-        self._share(min(1.25, max(self._lean(), 0.8 * self._bar / max(1.0, self._latency))), self._budget)
+        # Fast up to what the servers last did less the reserve, then slowly, as the limit must be near.
+        most = 1.25 if self._budget < 0.9 * self._best * self._demand.own_part else 1.05
+        self._share(min(most, max(self._lean(), 0.8 * self._bar / max(1.0, self._latency))), self._budget)
 
     def _lean(self) -> float:
         """Above 1 while latency is below the bar, under 1 so far that the queue above it drains in time."""
