--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -344,7 +344,7 @@
     def _heat(self) -> Heat:
         """Overload as the design words it, but by the median server: a few sick ones are no lost capacity."""
         seen = [sums for server in self._fleet.in_service()
-                if (sums := server.seen(self._host.now(), 3))[0] >= 3]
+                if (sums := server.seen(self._host.now(), 2))[0] >= 3]
         self._settled = sum(sums[4] for sums in seen)
         # The best of late, forgotten by a fortieth a period: own declines and client retries lower successes
         # without lowering what the servers can do, and levels would follow them down.
