--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -326,8 +326,10 @@
 
     DRAIN = 4 * SECOND  # time in which a queue above its aim is to be worked off: a few reports long
 
-    def __init__(self, host: Host, fleet: Fleet, demand: Demand, products: Sequence[Product]) -> None:
-        self._host, self._fleet, self._demand, self._products = host, fleet, demand, products
+    def __init__(self, host: Host, outbox: Outbox, fleet: Fleet, demand: Demand,
+                 products: Sequence[Product]) -> None:
+        self._host, self._outbox, self._fleet, self._demand = host, outbox, fleet, demand
+        self._products, self._usual = products, 0.0
         self._due = host.now() + 2 * SECOND  # the design: a fresh manager lets all in for one period
         self._load = Load.CALM
         self._shares: dict[Product, float] = {}
@@ -346,6 +348,11 @@
         seen = [sums for server in self._fleet.in_service()
                 if (sums := server.seen(self._host.now(), 2))[0] >= 3]
         self._settled = sum(sums[4] for sums in seen)
+        # A proxy that comes or goes takes its part of what the servers can do along with it: else those of a lost
+        # manager would be declined for long, or those that stay let in too much.
+        usual = sum(gateway.usual_rate for gateway in self._outbox.gateways)
+        part, self._usual = (usual / self._usual if self._usual else 1.0), usual
+        self._budget, self._best = part * self._budget, part * self._best
         # The best of late, forgotten by a fortieth a period: own declines and client retries lower successes
         # without lowering what the servers can do, and levels would follow them down.
         self._best = max(self._settled, 0.975 * self._best)
@@ -373,7 +380,7 @@
     def _ease(self) -> None:
         # From the budget in force: what was let in arrives late and thinned, and would hold it down for good.
         # Fast up to what the servers last did less the reserve, then slowly, as the limit must be near.
-        most = 1.25 if self._budget < 0.9 * self._best * self._demand.own_part else 1.05
+        most = 1.25 if self._budget < 0.9 * self._best else 1.05
         self._share(min(most, max(self._lean(), 0.8 * self._bar / max(1.0, self._latency))), self._budget)
 
     def _lean(self) -> float:
@@ -382,7 +389,7 @@
 
     def _share(self, lean: float, least: float) -> None:
         demand = self._demand
-        self._budget = max(lean * max(least, self._settled * demand.own_part), 0.65 * self._best * demand.own_part)
+        self._budget = max(lean * max(least, self._settled * demand.own_part), 0.65 * self._best)
         total = sum(demand.smoothed.values()) or 1.0
         self._shares = {p: max(0.05 * self._budget, self._budget * rate / total)
                         for p, rate in demand.smoothed.items()}
@@ -549,7 +556,7 @@
         self._outbox = Outbox(host, channel)
         self._fleet = Fleet(host, self._outbox, products, guarantee)
         self._demand = Demand(host, self._outbox, products, zones)
-        self._levels = Levels(host, self._fleet, self._demand, products)
+        self._levels = Levels(host, self._outbox, self._fleet, self._demand, products)
         self._tables = Tables(host, self._outbox, self._fleet, self._demand, self._levels, products, zones,
                               level_unit)
         self._handlers: dict[type, Callable[..., None]] = {} if slices else {
