--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -381,7 +381,7 @@
         # From the budget in force: what was let in arrives late and thinned, and would hold it down for good.
         # Fast up to what the servers last did less the reserve, then slowly, as the limit must be near.
         most = 1.25 if self._budget < 0.9 * self._best else 1.05
-        self._share(min(most, max(self._lean(), 0.8 * self._bar / max(1.0, self._latency))), self._budget)
+        self._share(min(most, max(self._lean(), self._bar / max(1.0, self._latency))), self._budget)
 
     def _lean(self) -> float:
         """Above 1 while latency is below the bar, under 1 so far that the queue above it drains in time."""
