--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -19,10 +19,9 @@
 from rushladder.ring import Ring
 
 SECOND = 10_000
-# LEFT: drains or is gone, withdrawn whatever tables name it; OUT: withdrawn as sick; TRIAL: let in again.
-Standing = Enum("Standing", "LEFT COLD FIT OUT TRIAL")
-# REST: its time out is over and probes answer; SOUND: its weight is back.
-Sign = Enum("Sign", "LISTED STARTED LEAVING WARM SICK REST SOUND")
+# LEFT: drains or is gone, withdrawn whatever tables name it; OUT: withdrawn as sick.
+Standing = Enum("Standing", "LEFT COLD FIT OUT")
+Sign = Enum("Sign", "LISTED STARTED LEAVING WARM SICK SOUND")
 Load = Enum("Load", "CALM SHED")
 Heat = Enum("Heat", "HOT MILD COOL")
 
@@ -34,11 +33,11 @@
         super().__init__(name, zone, model, cell)
         self.size, self.started_at, self.standing = 1.0, 0, Standing.LEFT
         self.out_until = self.out_for = 0
-        self.forget(1.0)
+        self.forget(1.0, 0)
 
-    def forget(self, factor: float) -> None:
-        """Starts its record anew; `factor` is the part of its listed weight that it gets."""
-        self.factor, self.pace, self.heard = factor, 1.0, 0
+    def forget(self, factor: float, heard: int) -> None:
+        """Starts its record anew, with a part of its listed weight and so many reports taken as heard."""
+        self.factor, self.pace, self.heard = factor, 1.0, heard
         self.tries: dict[str, Ring] = {}  # by zone of the proxies
         self.bad_probes = self.good_probes = 0
 
@@ -162,20 +161,20 @@
         self._outbox.line(self._outbox.gateways)
 
     def _begin(self, server: Server) -> None:
-        server.out_for = 0
-        server.forget(1.0)
+        server.out_until = server.out_for = 0
+        server.forget(1.0, 0)
         self._hold(server, False)
 
     def _exclude(self, server: Server) -> None:
         # Out for 4 s at first: shorter than most troubles last, and half a minute at most, with double the
         # time after each relapse, since a server that fails its trial costs txns at every one.
-        server.out_for = min(30 * SECOND, 2 * server.out_for or 4 * SECOND)
-        server.out_until = self._host.now() + server.out_for
-        server.good_probes = 0
+        relapse = self._host.now() < server.out_until + 30 * SECOND
+        server.out_for = min(30 * SECOND, (relapse and 2 * server.out_for) or 4 * SECOND)
+        server.out_until, server.good_probes = self._host.now() + server.out_for, 0
         self._hold(server, True)
 
     def _try_out(self, server: Server) -> None:
-        server.forget(0.2)  # two steps of the tenth it gains a period: enough tries to judge it by
+        server.forget(0.2, 9)  # a trial: weight enough to judge it by, and regained by a tenth a period
         self._hold(server, False)
 
     def judge(self) -> None:
@@ -186,7 +185,7 @@
                 self._turn(server, Sign.WARM)
             # Two answers in a row: one may be luck where a server drops most of what it gets.
             if server.standing is Standing.OUT and now >= server.out_until and server.good_probes >= 2:
-                self._turn(server, Sign.REST)
+                self._turn(server, Sign.SOUND)
         serving = self.in_service()
         # Four seconds of reports: some 30 tries a server, so that a mean is good to about a seventh.
         seen = {server: server.seen(now, 4) for server in serving}
@@ -209,10 +208,8 @@
                 server.heard += 1
                 server.pace += max(0.15, 1 / (1 + server.heard)) * (min(2.0, 1 / ratio) - server.pace)
             aim = min(1.6, max(0.3, server.pace))
-            step = 0.1 if server.standing is Standing.TRIAL else max(0.1, 1 / (1 + server.heard))
+            step = max(0.1, 1 / (1 + server.heard))
             server.factor += max(-step, min(step, aim - server.factor))
-            if server.factor >= aim:
-                self._turn(server, Sign.SOUND)
 
     def _can_spare(self, server: Server) -> bool:
         """Rule 1: the last line of a product is never withdrawn, and a quarter of the fleet always serves,
@@ -244,12 +241,11 @@
                 self._outbox.line([gateway])
 
 
-SERVING = (Standing.COLD, Standing.FIT, Standing.TRIAL)
+SERVING = (Standing.COLD, Standing.FIT)
 STANDINGS: dict[tuple[Standing, Sign], tuple[Standing, Callable[[Fleet, Server], None]]] = {
     (Standing.LEFT, Sign.LISTED): (Standing.FIT, Fleet._begin),
     (Standing.COLD, Sign.WARM): (Standing.FIT, lambda fleet, server: None),
-    (Standing.OUT, Sign.REST): (Standing.TRIAL, Fleet._try_out),
-    (Standing.TRIAL, Sign.SOUND): (Standing.FIT, lambda fleet, server: None),
+    (Standing.OUT, Sign.SOUND): (Standing.FIT, Fleet._try_out),
     **{(standing, Sign.STARTED): (Standing.COLD, Fleet._begin) for standing in Standing},
     **{(standing, Sign.SICK): (Standing.OUT, Fleet._exclude) for standing in SERVING},
     **{(standing, Sign.LEAVING): (Standing.LEFT, lambda fleet, server: fleet._hold(server, True))
@@ -269,7 +265,6 @@
         self._told: dict[int, tuple[int, list[float]]] = {}
         self.smoothed: dict[Product, float] = dict.fromkeys(products, 0.0)
         self.now: dict[Product, float] = dict.fromkeys(products, 0.0)
-        self.own_part = 1.0
 
     def arrivals(self, event: Arrivals) -> None:
         if event.proxy in self._outbox.gateways:
@@ -292,14 +287,11 @@
         """The design's smoothing: alpha 0.3, and 5 s in which a departed proxy's demand still counts."""
         while self._departed and self._departed[0][0] < self._host.now() - 5 * SECOND:
             self._departed.popleft()
-        joined = gone = 0.0
         for place, product in enumerate(self._products):
             here = sum(self.rate(gateway, product) for gateway in self._outbox.gateways)
             away = sum(rates[place] for _, rates in self._departed)
-            joined, gone = joined + here, gone + away
             before, self.now[product] = self.smoothed[product], here + away
             self.smoothed[product] = before + 0.3 * (here + away - before) if before else here + away
-        self.own_part = joined / (joined + gone) if joined else 1.0
 
     def _own(self) -> list[float]:
         return [sum(self.rate(gateway, product) for gateway in self._outbox.gateways if gateway.zone == zone)
@@ -348,10 +340,10 @@
         seen = [sums for server in self._fleet.in_service()
                 if (sums := server.seen(self._host.now(), 2))[0] >= 3]
         self._settled = sum(sums[4] for sums in seen)
-        # A proxy that comes or goes takes its part of what the servers can do along with it: else those of a lost
-        # manager would be declined for long, or those that stay let in too much.
-        usual = sum(gateway.usual_rate for gateway in self._outbox.gateways)
-        part, self._usual = (usual / self._usual if self._usual else 1.0), usual
+        # The design's scaling by own proxies: one that comes or goes takes its part of the budget along, else
+        # those of a lost manager would be declined for long, or those that stay let in too much.
+        usual, before = sum(gateway.usual_rate for gateway in self._outbox.gateways), self._usual
+        part, self._usual = (usual / before if before else 1.0), usual
         self._budget, self._best = part * self._budget, part * self._best
         # The best of late, forgotten by a fortieth a period: own declines and client retries lower successes
         # without lowering what the servers can do, and levels would follow them down.
@@ -375,24 +367,22 @@
         self._budget = 0.0
 
     def _impose(self) -> None:
-        self._share(min(0.9, self._lean()), 0.0)  # the design's reserve
+        # The design's reserve, and more the longer the queues are, so that what is over drains in time.
+        lean = 1 + (0.8 * self._bar - self._latency) / self.DRAIN
+        self._share(max(0.5, min(0.9, lean)) * self._settled)
 
     def _ease(self) -> None:
         # From the budget in force: what was let in arrives late and thinned, and would hold it down for good.
         # Fast up to what the servers last did less the reserve, then slowly, as the limit must be near.
         most = 1.25 if self._budget < 0.9 * self._best else 1.05
-        self._share(min(most, max(self._lean(), self._bar / max(1.0, self._latency))), self._budget)
-
-    def _lean(self) -> float:
-        """Above 1 while latency is below the bar, under 1 so far that the queue above it drains in time."""
-        return max(0.5, 1 + (0.8 * self._bar - self._latency) / self.DRAIN)
+        self._share(min(most, self._bar / max(1.0, self._latency)) * max(self._budget, self._settled))
 
-    def _share(self, lean: float, least: float) -> None:
-        demand = self._demand
-        self._budget = max(lean * max(least, self._settled * demand.own_part), 0.65 * self._best)
-        total = sum(demand.smoothed.values()) or 1.0
-        self._shares = {p: max(0.05 * self._budget, self._budget * rate / total)
-                        for p, rate in demand.smoothed.items()}
+    def _share(self, budget: float) -> None:
+        # Never under 0.65 of the best: latency tells of queues that may be gone by now, and levels would go on
+        # down. Tried from 0.6 to 0.8 without a clear winner.
+        self._budget, demand = max(budget, 0.65 * self._best), self._demand.smoothed
+        total = sum(demand.values()) or 1.0
+        self._shares = {p: max(0.05, rate / total) * self._budget for p, rate in demand.items()}
 
     def level(self, product: Product) -> float:
         demand = self._demand.now[product]
@@ -438,8 +428,7 @@
                         for place, zone in enumerate(zones) for k, group in enumerate(groups.values())]
 
     def join(self, gateway: Gateway) -> None:
-        if not all(table.wanted for table in self._tables):
-            self._plan()
+        self._plan()  # a table not yet planned for this demand could bind a joiner to no line (rule 1)
         for table in self._tables:
             if table.zone == gateway.zone:
                 table.gateways[gateway] = None
@@ -461,46 +450,36 @@
         """Home first: each zone's demand goes to its own servers up to the fleet's even use, and only what is
         over crosses zones. Listed weights, less what health and starting up take, are the capacities."""
         capacity = {server: self._fleet.capacity(server) for server in self._fleet.in_service()}
-        wants = self._wants(capacity)
-        use = sum(wants.values()) / (sum(capacity.values()) or 1.0)
-        room = {server: self.SLACK * use * size for server, size in capacity.items()}
+        demand = self._demand.everywhere()
+        heard = {zone for (zone, _), rate in demand.items() if rate > 0}
+        known = sum(size for server, size in capacity.items() if server.zone in heard)
+        use = max(1e-3, sum(demand.values())) / (known or 1.0)
+        # A zone of which nothing is heard is as busy as the rest, or cut off: nothing may spill to it.
+        room = {server: self.SLACK * use * size * (server.zone in heard) for server, size in capacity.items()}
         # The products with the fewest servers choose first.
-        order = sorted(((table, [s for s in capacity if s.may_run(table.products[0])])
-                        for table in self._tables), key=lambda item: len(item[1]))
-        flows: dict[Table, dict[Server, float]] = {}
+        order = sorted(((table, [s for s in capacity if self._open(table, s)]) for table in self._tables),
+                       key=lambda item: len(item[1]))
+        wants = {table: max(1e-3, sum(demand[table.zone, p] for p in table.products)) for table, _ in order}
+        flows: dict[Table, dict[Server, float]] = {table: {} for table, _ in order}
         for table, may in order:
-            flows[table] = {}
             self._pour(wants[table], [s for s in may if s.zone == table.zone], room, flows[table])
         for table, may in order:
-            flow = flows[table]
             for left in (room, dict(capacity)):  # what has room, then whatever there is
-                rest = wants[table] - sum(flow.values())
-                if rest > 0.02 * wants[table] and not (flow and table.products[0].home_only):
-                    self._pour(rest, may, left, flow)
-            total = sum(flow.values()) or 1.0
+                self._pour(wants[table] - sum(flows[table].values()), may, left, flows[table])
             # A line under a hundredth of its table costs a connection and carries nothing.
-            table.wanted = {s: 100 * part / total for s, part in flow.items() if part > 0.01 * total}
+            total = sum(flows[table].values())
+            table.wanted = {s: 100 * part / total for s, part in flows[table].items() if part > 0.01 * total}
 
-    def _wants(self, capacity: dict[Server, float]) -> dict[Table, float]:
-        """Demand by table; a zone of which nothing is heard is taken to be as busy as the rest."""
-        demand = self._demand.everywhere()
-        # Rule 1: a product nobody asks for yet still gets its lines.
-        wants = {table: max(1e-3, sum(demand[table.zone, product] for product in table.products))
-                 for table in self._tables}
-        heard = {zone for (zone, _), rate in demand.items() if rate > 0}
-        known = sum(size for server, size in capacity.items() if server.zone in heard)
-        kinds = len(self._tables) // len({table.zone for table in self._tables})
-        for table in self._tables:
-            if table.zone not in heard:
-                size = sum(size for server, size in capacity.items() if server.zone == table.zone)
-                wants[table] = size * (sum(wants.values()) / known if known else 1.0) / kinds
-        return wants
+    @staticmethod
+    def _open(table: Table, server: Server) -> bool:
+        return server.may_run(table.products[0]) and (
+            not table.products[0].home_only or server.zone == table.zone)
 
     @staticmethod
     def _pour(want: float, servers: Sequence[Server], room: dict[Server, float],
               flow: dict[Server, float]) -> None:
         free = sum(room[server] for server in servers)
-        for server in servers if free > 0 else ():
+        for server in servers if free > 0 and want > 0 else ():
             part = min(1.0, want / free) * room[server]
             flow[server] = flow.get(server, 0.0) + part
             room[server] -= part
