--- a/rushladder/benchlink/hosting.py
+++ b/rushladder/benchlink/hosting.py
@@ -82,7 +82,7 @@
             raise WireError(f"Targets: page {got['page']} was never sent")
         return Listing(kind, got["version"], [self._entry(raw) for raw in pages[got["page"]]])
 
-    def _entry(self, raw: dict[str, Any]) -> Entry:
+    def _entry(self, raw: dict[str, Any]) -> Entry[Server]:
         name = raw["worker"]
         worker = self._servers.get(name)
         if worker is None:
--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -20,8 +20,8 @@
 
 SECOND = 10_000
 # LEFT: drains or is gone, withdrawn whatever tables name it; OUT: withdrawn as sick.
-Standing = Enum("Standing", "LEFT COLD FIT OUT")
-Sign = Enum("Sign", "LISTED STARTED LEAVING WARM SICK SOUND")
+Standing = Enum("Standing", "LEFT SERVING OUT")
+Sign = Enum("Sign", "LISTED STARTED LEAVING SICK SOUND")
 Load = Enum("Load", "CALM SHED")
 Heat = Enum("Heat", "HOT MILD COOL")
 
@@ -47,9 +47,9 @@
         many, voided, settled, time = (sum(sums[k] for sums in totals) for k in range(4))
         return many, voided, settled, time, sum(SECOND * sums[2] / sums[4] for sums in totals if sums[4])
 
-    def may_run(self, product: Product) -> bool:
-        return (not product.models or self.model in product.models) and (
-            not product.zones or self.zone in product.zones)
+    def may_run(self, product: Product, zone: str) -> bool:
+        return (self.model in (product.models or {self.model}) and self.zone in (product.zones or {self.zone})
+                and (self.zone == zone or not product.home_only))
 
 
 class Gateway(Proxy):
@@ -65,10 +65,8 @@
 class Outbox:
     """Counts the lines that wait in the channel and the messages to each proxy, for rule 5."""
 
-    # Half the limit: what can't be put off fits twice, so it always finds room beside what waits.
-    USED = 0.5
-    # Messages of the cap kept free for withdrawals and joins: about one list change in three seconds.
-    SPARE = 3
+    USED = 0.5  # half the limit: what can't be put off fits twice, so it finds room beside what waits
+    SPARE = 3  # messages of the cap kept for withdrawals: about one list change in three seconds
 
     def __init__(self, host: Host, channel: Channel) -> None:
         self._host, self._channel, self._mark = host, channel, 0
@@ -78,6 +76,9 @@
         even = channel.cap_span // max(1, channel.message_cap - self.SPARE) if channel.message_cap else 0
         self.beat = max(SECOND, even)
 
+    def joined(self, zone: str) -> list[Gateway]:
+        return [gateway for gateway in self.gateways if gateway.zone == zone]
+
     def line(self, gateways: Collection[Gateway], count: float = 1) -> None:
         for gateway in gateways:
             self._lines[gateway] = self._lines.get(gateway, 0.0) + count
@@ -104,11 +105,10 @@
             gateway.messages.add(self._host.now(), 1)
         self._lines.clear()
 
-    def applied(self, event: Applied) -> None:
-        assert isinstance(event.proxy, Gateway)
-        if event.number in [mark for mark, _ in event.proxy.unapplied]:
-            while event.proxy.unapplied.popleft()[0] != event.number:
-                pass
+    def applied(self, event: Applied[Gateway]) -> None:
+        waiting = event.proxy.unapplied
+        while event.number in (mark for mark, _ in waiting):
+            waiting.popleft()
 
 
 class Fleet:
@@ -119,21 +119,20 @@
         self._cold_time, self._cold_from = guarantee.cold_time, guarantee.cold_from
         self.servers: dict[Server, None] = {}
 
-    def listing(self, event: Listing) -> None:
+    def listing(self, event: Listing[Server]) -> None:
         if event.kind is not ListKind.CHANGES:
             named = {entry.worker for entry in event.entries}
             for absent in [server for server in self.servers if server not in named]:
                 self._turn(absent, Sign.LEAVING)
         for entry in event.entries:
             server = entry.worker
-            assert isinstance(server, Server)
             self.servers[server] = None
-            if entry.availability is not Availability.READY:
+            if entry.availability is Availability.READY:
+                restarted = entry.started_at != server.started_at
+                server.size, server.started_at = max(entry.size, 1e-3), entry.started_at
+                self._turn(server, Sign.STARTED if restarted and self._ramp(server) < 1 else Sign.LISTED)
+            else:
                 self._turn(server, Sign.LEAVING)
-                continue
-            restarted = entry.started_at != server.started_at
-            server.size, server.started_at = max(entry.size, 1e-3), entry.started_at
-            self._turn(server, Sign.STARTED if restarted and self._ramp(server) < 1 else Sign.LISTED)
 
     def _ramp(self, server: Server) -> float:
         """The part of its size that a starting server surely has. Rule 4: from the list alone, so that all
@@ -144,14 +143,12 @@
         return min(1.0, self._cold_from + (1 - self._cold_from) * age)
 
     def in_service(self) -> list[Server]:
-        return [server for server in self.servers if server.standing in SERVING]
+        return [server for server in self.servers if server.standing is Standing.SERVING]
 
     def capacity(self, server: Server) -> float:
         return server.size * server.factor * self._ramp(server)
 
-    # Standing: STANDINGS is the table of state, input, next state, effect.
-
-    def _turn(self, server: Server, sign: Sign) -> None:
+    def _turn(self, server: Server, sign: Sign) -> None:  # STANDINGS: state, input, next state, effect
         if (server.standing, sign) in STANDINGS:
             server.standing, effect = STANDINGS[server.standing, sign]
             effect(self, server)
@@ -160,6 +157,9 @@
         self._host.hold_back(server, out)
         self._outbox.line(self._outbox.gateways)
 
+    def _withdraw(self, server: Server) -> None:
+        self._hold(server, True)
+
     def _begin(self, server: Server) -> None:
         server.out_until = server.out_for = 0
         server.forget(1.0, 0)
@@ -181,10 +181,8 @@
         """Health, by comparison only: where all are slow or void, none is sick."""
         now = self._host.now()
         for server in self.servers:
-            if self._ramp(server) >= 1:
-                self._turn(server, Sign.WARM)
             # Two answers in a row: one may be luck where a server drops most of what it gets.
-            if server.standing is Standing.OUT and now >= server.out_until and server.good_probes >= 2:
+            if now >= server.out_until and server.good_probes >= 2:
                 self._turn(server, Sign.SOUND)
         serving = self.in_service()
         # Four seconds of reports: some 30 tries a server, so that a mean is good to about a seventh.
@@ -217,47 +215,42 @@
         left = [other for other in self.in_service() if other is not server]
         total = sum(other.size for other in self.servers if other.standing is not Standing.LEFT)
         return sum(other.size for other in left) >= 0.25 * total and all(
-            any(other.may_run(product) for other in left) for product in self._products)
+            any(other.may_run(product, other.zone) for other in left) for product in self._products)
 
-    def tries(self, event: Tries) -> None:
-        assert isinstance(event.worker, Server)
+    def tries(self, event: Tries[Server]) -> None:
         settled = event.many - event.voided
         ring = event.worker.tries.setdefault(event.zone, Ring(SECOND, 6, 5))
         ring.add(self._host.now(), event.many, event.voided, settled, settled * event.mean, event.covers)
 
-    def probed(self, event: Probed) -> None:
+    def probed(self, event: Probed[Server]) -> None:
         server = event.worker
-        assert isinstance(server, Server)
         if event.result is not ProbeResult.TURNED_AWAY:  # too many at once says nothing of its health
             good = event.result is ProbeResult.OK
-            server.good_probes = server.good_probes + 1 if good else 0
-            server.bad_probes = 0 if good else server.bad_probes + 1
+            server.good_probes, server.bad_probes = (
+                (server.good_probes + 1, 0) if good else (0, server.bad_probes + 1))
 
     def tell_joiner(self, gateway: Gateway) -> None:
         """Standing tables still name servers that left: each joiner must be told again (rule 3)."""
         for server in self.servers:
-            if server.standing not in SERVING:
+            if server.standing is not Standing.SERVING:
                 self._host.hold_back(server, True)
                 self._outbox.line([gateway])
 
 
-SERVING = (Standing.COLD, Standing.FIT)
 STANDINGS: dict[tuple[Standing, Sign], tuple[Standing, Callable[[Fleet, Server], None]]] = {
-    (Standing.LEFT, Sign.LISTED): (Standing.FIT, Fleet._begin),
-    (Standing.COLD, Sign.WARM): (Standing.FIT, lambda fleet, server: None),
-    (Standing.OUT, Sign.SOUND): (Standing.FIT, Fleet._try_out),
-    **{(standing, Sign.STARTED): (Standing.COLD, Fleet._begin) for standing in Standing},
-    **{(standing, Sign.SICK): (Standing.OUT, Fleet._exclude) for standing in SERVING},
-    **{(standing, Sign.LEAVING): (Standing.LEFT, lambda fleet, server: fleet._hold(server, True))
-       for standing in (*SERVING, Standing.OUT)},
+    (Standing.LEFT, Sign.LISTED): (Standing.SERVING, Fleet._begin),
+    **{(standing, Sign.STARTED): (Standing.SERVING, Fleet._begin) for standing in Standing},
+    (Standing.SERVING, Sign.SICK): (Standing.OUT, Fleet._exclude),
+    (Standing.OUT, Sign.SOUND): (Standing.SERVING, Fleet._try_out),
+    (Standing.SERVING, Sign.LEAVING): (Standing.LEFT, Fleet._withdraw),
+    (Standing.OUT, Sign.LEAVING): (Standing.LEFT, Fleet._withdraw),
 }
 
 
 class Demand:
     """What comes to this manager's proxies, and what its peers say comes to theirs."""
 
-    WINDOW = 3  # seconds: the shortest that evens out reports which arrive late and in lumps
-    STALE = 3 * SECOND  # three lost words in a row: the peer is gone, not the word
+    WINDOW = 3  # seconds of reports that even out lumps; as many without a word, and the peer is gone
 
     def __init__(self, host: Host, outbox: Outbox, products: Sequence[Product], zones: Sequence[str]) -> None:
         self._host, self._outbox, self._products, self._zones = host, outbox, products, zones
@@ -266,7 +259,7 @@
         self.smoothed: dict[Product, float] = dict.fromkeys(products, 0.0)
         self.now: dict[Product, float] = dict.fromkeys(products, 0.0)
 
-    def arrivals(self, event: Arrivals) -> None:
+    def arrivals(self, event: Arrivals[Gateway]) -> None:
         if event.proxy in self._outbox.gateways:
             event.proxy.came[event.product].add(self._host.now(), event.many, event.covers)
 
@@ -294,7 +287,7 @@
             self.smoothed[product] = before + 0.3 * (here + away - before) if before else here + away
 
     def _own(self) -> list[float]:
-        return [sum(self.rate(gateway, product) for gateway in self._outbox.gateways if gateway.zone == zone)
+        return [sum(self.rate(gateway, product) for gateway in self._outbox.joined(zone))
                 for zone in self._zones for product in self._products]
 
     def word(self) -> bytes:
@@ -308,7 +301,7 @@
 
     def everywhere(self) -> dict[tuple[str, Product], float]:
         """Demand by zone and product, own and told."""
-        told = [rates for at, rates in self._told.values() if at > self._host.now() - self.STALE]
+        told = [rates for at, rates in self._told.values() if at > self._host.now() - self.WINDOW * SECOND]
         places = [(zone, product) for zone in self._zones for product in self._products]
         return dict(zip(places, map(sum, zip(self._own(), *told, strict=True)), strict=True))
 
@@ -322,18 +315,16 @@
                  products: Sequence[Product]) -> None:
         self._host, self._outbox, self._fleet, self._demand = host, outbox, fleet, demand
         self._products, self._usual = products, 0.0
-        self._due = host.now() + 2 * SECOND  # the design: a fresh manager lets all in for one period
         self._load = Load.CALM
         self._shares: dict[Product, float] = {}
         self._quiet = self._latency = self._bar = self._best = 0.0
         self._settled = self._budget = 0.0  # no budget: everything is let in
 
     def period(self) -> None:
+        """A fresh manager lets all in for the design's one period, as no report has come by its first."""
         self._demand.period()
-        heat = self._heat()
-        if self._host.now() >= self._due:
-            self._load, effect = LOADS[self._load, heat]
-            effect(self)
+        self._load, effect = LOADS[self._load, self._heat()]  # state, input, next state, effect
+        effect(self)
 
     def _heat(self) -> Heat:
         """Overload as the design words it, but by the median server: a few sick ones are no lost capacity."""
@@ -356,13 +347,11 @@
         # Twice the quiet average, yet at least two fifths of the SLA time: below that hardly a txn is late.
         self._bar = max(2 * self._quiet, 0.4 * sla)
         if self._load is Load.CALM and self._latency < self._bar:
-            self._quiet += 0.05 * (self._latency - self._quiet) if self._quiet else self._latency
+            self._quiet += (0.05 if self._quiet else 1.0) * (self._latency - self._quiet)
         if voids[len(voids) // 2] > 0.05 or self._latency > self._bar:
             return Heat.HOT
         return Heat.COOL if all(self.level(product) >= 1 for product in self._products) else Heat.MILD
 
-    # Load: LOADS is the table of state, input, next state, effect.
-
     def _lift(self) -> None:
         self._budget = 0.0
 
@@ -378,8 +367,7 @@
         self._share(min(most, self._bar / max(1.0, self._latency)) * max(self._budget, self._settled))
 
     def _share(self, budget: float) -> None:
-        # Never under 0.65 of the best: latency tells of queues that may be gone by now, and levels would go on
-        # down. Tried from 0.6 to 0.8 without a clear winner.
+        # Never under 0.65 of the best (tried 0.6 to 0.8): latency tells of queues that may be gone by now.
         self._budget, demand = max(budget, 0.65 * self._best), self._demand.smoothed
         total = sum(demand.values()) or 1.0
         self._shares = {p: max(0.05, rate / total) * self._budget for p, rate in demand.items()}
@@ -391,7 +379,6 @@
 
 LOADS: dict[tuple[Load, Heat], tuple[Load, Callable[[Levels], None]]] = {
     (Load.CALM, Heat.HOT): (Load.SHED, Levels._impose),
-    (Load.CALM, Heat.MILD): (Load.CALM, Levels._lift),
     (Load.CALM, Heat.COOL): (Load.CALM, Levels._lift),
     (Load.SHED, Heat.HOT): (Load.SHED, Levels._impose),
     (Load.SHED, Heat.MILD): (Load.SHED, Levels._ease),
@@ -404,7 +391,6 @@
 
     def __init__(self, number: int, zone: str, products: Sequence[Product]) -> None:
         self.number, self.zone, self.products = number, zone, products
-        self.gateways: dict[Gateway, None] = {}
         self.wanted: dict[Server, float] = {}
         self.lines: dict[Server, float] = {}
         self.gates: dict[Product, float] = {}
@@ -431,19 +417,15 @@
         self._plan()  # a table not yet planned for this demand could bind a joiner to no line (rule 1)
         for table in self._tables:
             if table.zone == gateway.zone:
-                table.gateways[gateway] = None
                 self._send(table)
                 self._host.bind(gateway, table.number, table.products)
                 self._outbox.line([gateway], 1 + len(table.lines) + len(table.gates))
 
-    def left(self, gateway: Gateway) -> None:
-        for table in self._tables:
-            table.gateways.pop(gateway, None)
-
     def refresh(self) -> None:
         self._plan()
         for table in self._tables:
-            if self._outbox.has_room(table.gateways, len(table.wanted) + len(table.products)):
+            lines = len(table.wanted) + len(table.products)
+            if self._outbox.has_room(self._outbox.joined(table.zone), lines):
                 self._send(table)
 
     def _plan(self) -> None:
@@ -452,28 +434,23 @@
         capacity = {server: self._fleet.capacity(server) for server in self._fleet.in_service()}
         demand = self._demand.everywhere()
         heard = {zone for (zone, _), rate in demand.items() if rate > 0}
-        known = sum(size for server, size in capacity.items() if server.zone in heard)
-        use = max(1e-3, sum(demand.values())) / (known or 1.0)
+        known = sum(size for server, size in capacity.items() if server.zone in heard) or 1.0
+        use = max(1e-3, sum(demand.values())) / known
         # A zone of which nothing is heard is as busy as the rest, or cut off: nothing may spill to it.
         room = {server: self.SLACK * use * size * (server.zone in heard) for server, size in capacity.items()}
         # The products with the fewest servers choose first.
-        order = sorted(((table, [s for s in capacity if self._open(table, s)]) for table in self._tables),
-                       key=lambda item: len(item[1]))
+        order = sorted(((table, [s for s in capacity if s.may_run(table.products[0], table.zone)])
+                        for table in self._tables), key=lambda item: len(item[1]))
         wants = {table: max(1e-3, sum(demand[table.zone, p] for p in table.products)) for table, _ in order}
-        flows: dict[Table, dict[Server, float]] = {table: {} for table, _ in order}
         for table, may in order:
-            self._pour(wants[table], [s for s in may if s.zone == table.zone], room, flows[table])
+            table.wanted = {}
+            self._pour(wants[table], [s for s in may if s.zone == table.zone], room, table.wanted)
         for table, may in order:
             for left in (room, dict(capacity)):  # what has room, then whatever there is
-                self._pour(wants[table] - sum(flows[table].values()), may, left, flows[table])
+                self._pour(wants[table] - sum(table.wanted.values()), may, left, table.wanted)
             # A line under a hundredth of its table costs a connection and carries nothing.
-            total = sum(flows[table].values())
-            table.wanted = {s: 100 * part / total for s, part in flows[table].items() if part > 0.01 * total}
-
-    @staticmethod
-    def _open(table: Table, server: Server) -> bool:
-        return server.may_run(table.products[0]) and (
-            not table.products[0].home_only or server.zone == table.zone)
+            total = sum(table.wanted.values())
+            table.wanted = {s: 100 * part / total for s, part in table.wanted.items() if part > 0.01 * total}
 
     @staticmethod
     def _pour(want: float, servers: Sequence[Server], room: dict[Server, float],
@@ -485,12 +462,13 @@
             room[server] -= part
 
     def _send(self, table: Table) -> None:
+        gateways = self._outbox.joined(table.zone)
         # Rule 1: an empty plan changes nothing; the last lines stay until there are others.
         for server in {**table.lines, **table.wanted} if table.wanted else ():
             weight = table.wanted.get(server, 0.0)
             if self._differs(table.lines.get(server, 0.0), weight):
                 self._host.weigh(table.number, server, round(weight, 3))
-                self._outbox.line(table.gateways)
+                self._outbox.line(gateways)
                 table.lines[server] = weight
         table.lines = {server: weight for server, weight in table.lines.items() if weight}
         for product in table.products:
@@ -500,7 +478,7 @@
                 # No try after one that may have run: it breaks rule 2 for some products, and for the others
                 # it feeds every jam, above all at proxies that have lost their manager and keep trying.
                 self._host.gate(table.number, [product], figure, Retry.UNSENT)
-                self._outbox.line(table.gateways)
+                self._outbox.line(gateways)
                 table.gates[product] = figure
 
     def _differs(self, before: float, after: float) -> bool:
@@ -512,10 +490,10 @@
             return round(level, 3)
         # The one rate a proxy at which the table's proxies together let in their share: those with less
         # demand leave theirs to the busy ones, where an equal split would leave it unused.
-        rates = sorted(self._demand.rate(gateway, product) for gateway in table.gateways)
+        rates = sorted(self._demand.rate(gateway, product) for gateway in self._outbox.joined(table.zone))
         share, count = level * sum(rates), len(rates)
         for place, rate in enumerate(rates if level < 1 else ()):
-            if rate * (count - place) >= share:
+            if share and rate * (count - place) >= share:
                 return round(max(0.01, share / (count - place)), 3)
             share -= rate
         return self.FULL_RATE
@@ -549,28 +527,24 @@
             if asks_list:
                 host.watch(True)
 
+        self.close = self._outbox.close
+
     def take(self, event: Event) -> None:
         if type(event) in self._handlers:
             self._handlers[type(event)](event)
 
-    def close(self) -> None:
-        self._outbox.close()
-
-    def _listing(self, event: Listing) -> None:
-        if event.kind is not ListKind.FAILED:
-            self._failures = 0
-            self._fleet.listing(event)
-            return
+    def _listing(self, event: Listing[Server]) -> None:
+        self._failures = self._failures + 1 if event.kind is ListKind.FAILED else 0
+        if not self._failures:
+            return self._fleet.listing(event)
         # Asked again after a wait that doubles and differs by manager, lest all call at once; well inside the
         # time after which a manager is deemed told what it never heard (rule 3).
-        wait = min(self._ask_within // 4, SECOND // 2 << min(self._failures, 6))
-        self._failures += 1
-        self._host.wake(1 + int(wait * (0.5 + self._draw())), self.ASK)
+        wait = min(self._ask_within // 4, SECOND // 4 << min(self._failures, 7))
+        return self._host.wake(1 + int(wait * (0.5 + self._draw())), self.ASK)
 
     def _reminder(self, event: Reminder) -> None:
         if event.token == self.ASK:
-            self._host.watch(True)
-            return
+            return self._host.watch(True)
         self._fleet.judge()
         self._levels.period()
         self._tables.refresh()
@@ -579,20 +553,17 @@
                 self._host.probe(server)
         if self._may_tell:
             self._host.tell(None, self._demand.word())
-        self._host.wake(self._outbox.beat, self.BEAT)
+        return self._host.wake(self._outbox.beat, self.BEAT)
 
-    def _joined(self, event: Joined) -> None:
+    def _joined(self, event: Joined[Gateway]) -> None:
         gateway = event.proxy
-        assert isinstance(gateway, Gateway)
         gateway.begin(self._host.now(), self._cap_span, self._products)
         self._outbox.gateways[gateway] = None
         self._tables.join(gateway)
         self._fleet.tell_joiner(gateway)
 
-    def _left(self, event: Left) -> None:
+    def _left(self, event: Left[Gateway]) -> None:
         gateway = event.proxy
-        assert isinstance(gateway, Gateway)
         if gateway in self._outbox.gateways:
             self._demand.left(gateway)
             del self._outbox.gateways[gateway]
-            self._tables.left(gateway)
--- a/rushladder/interface.py
+++ b/rushladder/interface.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
-from typing import Protocol
+from typing import Any, Generic, Protocol, TypeVar
 
 
 class Availability(IntEnum):
@@ -104,6 +104,10 @@
     usual_rate: float
 
 
+W = TypeVar("W", bound=Worker)  # as the decision module extends them
+P = TypeVar("P", bound=Proxy)
+
+
 @dataclass(frozen=True)
 class Channel:
     """The manager's channel to its proxies."""
@@ -132,10 +136,10 @@
 
 
 @dataclass(frozen=True)
-class Entry:
+class Entry(Generic[W]):
     """One line of the list of workers."""
 
-    worker: Worker
+    worker: W
     availability: Availability
     size: float
     started_at: int  # 0: long ago
@@ -145,10 +149,10 @@
 
 
 @dataclass(frozen=True)
-class Listing:
+class Listing(Generic[W]):
     kind: ListKind
     version: int
-    entries: Sequence[Entry] = ()
+    entries: Sequence[Entry[W]] = ()
 
 
 @dataclass(frozen=True)
@@ -157,8 +161,8 @@
 
 
 @dataclass(frozen=True)
-class Probed:
-    worker: Worker
+class Probed(Generic[W]):
+    worker: W
     result: ProbeResult
     elapsed: int
     load: Mapping[str, float] = field(default_factory=dict)
@@ -171,21 +175,21 @@
 
 
 @dataclass(frozen=True)
-class Joined:
-    proxy: Proxy
+class Joined(Generic[P]):
+    proxy: P
     bare: bool  # it holds only the table it drew at its start
 
 
 @dataclass(frozen=True)
-class Left:
-    proxy: Proxy
+class Left(Generic[P]):
+    proxy: P
 
 
 @dataclass(frozen=True)
-class Tries:
+class Tries(Generic[W]):
     """What the joined proxies of a zone met at a worker; `mean` is that of the settled tries."""
 
-    worker: Worker
+    worker: W
     zone: str
     many: int
     voided: int
@@ -195,10 +199,10 @@
 
 
 @dataclass(frozen=True)
-class Arrivals:
+class Arrivals(Generic[P]):
     """The txns of a product that came to a proxy, repeats and declined ones too."""
 
-    proxy: Proxy
+    proxy: P
     product: Product
     many: int
     voided: int
@@ -206,8 +210,8 @@
 
 
 @dataclass(frozen=True)
-class Applied:
-    proxy: Proxy
+class Applied(Generic[P]):
+    proxy: P
     number: int
     elapsed: int
 
@@ -219,9 +223,9 @@
 
 
 @dataclass(frozen=True)
-class SliceLine:
+class SliceLine(Generic[W]):
     slice: int
-    worker: Worker
+    worker: W
     weight: float
 
 
@@ -235,8 +239,8 @@
 
 
 Event = (
-    Listing | Reminder | Probed | PeerWord | Joined | Left | Tries | Arrivals | Applied
-    | SliceGiven | SliceLine | SliceArrivals
+    Listing[Any] | Reminder | Probed[Any] | PeerWord | Joined[Any] | Left[Any] | Tries[Any] | Arrivals[Any]
+    | Applied[Any] | SliceGiven | SliceLine[Any] | SliceArrivals
 )
 
 
