Rule 5: joins and list changes cost the others no message between beats

Guards against any burst of joins or list changes; harms little: a drain is told up to a beat later.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -118,6 +118,7 @@
         self._host, self._outbox, self._products = host, outbox, products
         self._cold_time, self._cold_from = guarantee.cold_time, guarantee.cold_from
         self.servers: dict[Server, None] = {}
+        self._holds: dict[Server, bool] = {}  # withdrawals and releases still to be told
 
     def listing(self, event: Listing[Server]) -> None:
         if event.kind is not ListKind.CHANGES:
@@ -153,17 +154,19 @@
             server.standing, effect = STANDINGS[server.standing, sign]
             effect(self, server)
 
-    def _hold(self, server: Server, out: bool) -> None:
-        self._host.hold_back(server, out)
-        self._outbox.line(self._outbox.gateways)
+    def tell(self) -> None:
+        for server, out in self._holds.items():
+            self._host.hold_back(server, out)
+            self._outbox.line(self._outbox.gateways)
+        self._holds.clear()
 
     def _withdraw(self, server: Server) -> None:
-        self._hold(server, True)
+        self._holds[server] = True
 
     def _begin(self, server: Server) -> None:
         server.out_until = server.out_for = 0
         server.forget(1.0, 0)
-        self._hold(server, False)
+        self._holds[server] = False
 
     def _exclude(self, server: Server) -> None:
         # Out for 4 s at first: shorter than most troubles last, and half a minute at most, with double the
@@ -171,11 +174,11 @@
         relapse = self._host.now() < server.out_until + 30 * SECOND
         server.out_for = min(30 * SECOND, (relapse and 2 * server.out_for) or 4 * SECOND)
         server.out_until, server.good_probes = self._host.now() + server.out_for, 0
-        self._hold(server, True)
+        self._holds[server] = True
 
     def _try_out(self, server: Server) -> None:
         server.forget(0.2, 9)  # a trial: weight enough to judge it by, and regained by a tenth a period
-        self._hold(server, False)
+        self._holds[server] = False
 
     def judge(self) -> None:
         """Health, by comparison only: where all are slow or void, none is sick."""
@@ -417,7 +420,8 @@
         self._plan()  # a table not yet planned for this demand could bind a joiner to no line (rule 1)
         for table in self._tables:
             if table.zone == gateway.zone:
-                self._send(table)
+                if not table.lines:  # else at the beat: each join would cost all others a message (rule 5)
+                    self._send(table)
                 self._host.bind(gateway, table.number, table.products)
                 self._outbox.line([gateway], 1 + len(table.lines) + len(table.gates))
 
@@ -511,6 +515,8 @@
         self._may_probe, self._may_tell = may_probe, may_tell and managers > 1
         self._ask_within, self._cap_span, self._failures = guarantee.ask_within, channel.cap_span, 0
         self._outbox = Outbox(host, channel)
+        self._hurried = not channel.message_cap or (
+            guarantee.drain_grace < self._outbox.beat + channel.longest_way + SECOND // 2)
         self._fleet = Fleet(host, self._outbox, products, guarantee)
         self._demand = Demand(host, self._outbox, products, zones)
         self._levels = Levels(host, self._outbox, self._fleet, self._demand, products)
@@ -536,7 +542,10 @@
     def _listing(self, event: Listing[Server]) -> None:
         self._failures = self._failures + 1 if event.kind is ListKind.FAILED else 0
         if not self._failures:
-            return self._fleet.listing(event)
+            self._fleet.listing(event)
+            # At once, unless messages are capped and the grace leaves time for the beat: changes of the list
+            # come one by one, and a message for each would pass the cap (rule 5).
+            return self._fleet.tell() if self._hurried else None
         # Asked again after a wait that doubles and differs by manager, lest all call at once; well inside the
         # time after which a manager is deemed told what it never heard (rule 3).
         wait = min(self._ask_within // 4, SECOND // 4 << min(self._failures, 7))
@@ -546,6 +555,7 @@
         if event.token == self.ASK:
             return self._host.watch(True)
         self._fleet.judge()
+        self._fleet.tell()
         self._levels.period()
         self._tables.refresh()
         for server in self._fleet.servers if self._may_probe else ():
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -136,13 +136,17 @@
             host.run(1)
         self.assertLess(len(host.named("weigh")), 200 / len(host.gateways))
 
-    def test_no_proxy_gets_more_messages_than_its_cap(self) -> None:
+    def test_joins_and_list_changes_cost_the_others_no_message_above_their_cap(self) -> None:
         host = FakeHost(cap=12)
         host.join()
         sent = []
         for k in range(30):
             host.slow = {host.servers[k % 6]: 5.0}
-            sent.append(bool(host.named("checkpoint", host.run(1))))
+            host.leave(host.gateways[3])
+            orders = [host.join(host.gateways[3]), host.run(1), host.roster(
+                ListKind.CHANGES, host.servers[k % 6], started_at=host.clock)]
+            sent.append(sum(bool(host.named("weigh", some) or host.named("gate", some) or (
+                host.named("hold_back", some) and not host.named("bind", some))) for some in orders))
         self.assertLessEqual(max(sum(sent[k:k + 10]) for k in range(20)), 12)
 
     def test_a_joiner_gets_its_tables_and_levels_at_once(self) -> None:
