--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -180,7 +180,7 @@
         server.forget(0.2, 9)  # a trial: weight enough to judge it by, and regained by a tenth a period
         self._holds[server] = False
 
-    def judge(self) -> None:
+    def judge(self, demand: Demand) -> None:
         """Health, by comparison only: where all are slow or void, none is sick."""
         now = self._host.now()
         for server in self.servers:
@@ -191,6 +191,9 @@
         # Four seconds of reports: some 30 tries a server, so that a mean is good to about a seventh.
         seen = {server: server.seen(now, 4) for server in serving}
         many, voided, settled, time = (sum(sums[k] for sums in seen.values()) for k in range(4))
+        # A manager whose proxies use one zone's servers would not see that all of those are slow.
+        demand.heard_of = (settled, time)
+        settled, time = (sum(parts) for parts in zip((settled, time), *(told[:2] for told in demand.told()), strict=True))
         answering = 2 * sum(server.bad_probes == 0 for server in serving) >= len(serving)
         for server, (n, v, s, t, _) in seen.items():
             others = (voided - v) / max(1.0, many - n)
@@ -259,6 +262,7 @@
         self._host, self._outbox, self._products, self._zones = host, outbox, products, zones
         self._departed: deque[tuple[int, list[float]]] = deque()
         self._told: dict[int, tuple[int, list[float]]] = {}
+        self.heard_of: tuple[float, float] = (0.0, 0.0)
         self.smoothed: dict[Product, float] = dict.fromkeys(products, 0.0)
         self.now: dict[Product, float] = dict.fromkeys(products, 0.0)
 
@@ -294,17 +298,20 @@
                 for zone in self._zones for product in self._products]
 
     def word(self) -> bytes:
-        """For peers: own demand by zone and product, in tenths of a txn a second."""
-        return b"".join(struct.pack("<H", min(65535, round(10 * rate))) for rate in self._own())
+        """For peers: tries settled and their time, and own demand by zone and product, in tenths a second."""
+        return b"".join(struct.pack("<I", round(10 * x)) for x in (*self.heard_of, *self._own()))
 
     def heard(self, event: PeerWord) -> None:
-        if len(event.data) == 2 * len(self._zones) * len(self._products):
-            rates = [rate / 10 for (rate,) in struct.iter_unpack("<H", event.data)]
+        if len(event.data) == 4 * (2 + len(self._zones) * len(self._products)):
+            rates = [rate / 10 for (rate,) in struct.iter_unpack("<I", event.data)]
             self._told[event.peer] = (self._host.now(), rates)
 
+    def told(self) -> list[list[float]]:
+        return [rates for at, rates in self._told.values() if at > self._host.now() - self.WINDOW * SECOND]
+
     def everywhere(self) -> dict[tuple[str, Product], float]:
         """Demand by zone and product, own and told."""
-        told = [rates for at, rates in self._told.values() if at > self._host.now() - self.WINDOW * SECOND]
+        told = [rates[2:] for rates in self.told()]
         places = [(zone, product) for zone in self._zones for product in self._products]
         return dict(zip(places, map(sum, zip(self._own(), *told, strict=True)), strict=True))
 
@@ -555,7 +562,7 @@
     def _reminder(self, event: Reminder) -> None:
         if event.token == self.ASK:
             return self._host.watch(True)
-        self._fleet.judge()
+        self._fleet.judge(self._demand)
         self._fleet.tell()
         self._levels.period()
         self._tables.refresh()
