--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -193,7 +193,7 @@
         many, voided, settled, time = (sum(sums[k] for sums in seen.values()) for k in range(4))
         # A manager whose proxies use one zone's servers would not see that all of those are slow.
         demand.heard_of = (settled, time)
-        settled, time = (sum(parts) for parts in zip((settled, time), *(told[:2] for told in demand.told()), strict=True))
+        settled, time = map(sum, zip((settled, time), *(told[:2] for told in demand.told()), strict=True))
         answering = 2 * sum(server.bad_probes == 0 for server in serving) >= len(serving)
         for server, (n, v, s, t, _) in seen.items():
             others = (voided - v) / max(1.0, many - n)
