--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -36,7 +36,7 @@
         self.forget(1.0, 0)
 
     def forget(self, factor: float, heard: int) -> None:
-        """Starts its record anew, with a part of its listed weight and so many reports taken as heard."""
+        """Its record starts anew, with a part of its listed weight and so many reports taken as heard."""
         self.factor, self.pace, self.heard = factor, 1.0, heard
         self.tries: dict[str, Ring] = {}  # by zone of the proxies
         self.bad_probes = self.good_probes = 0
@@ -65,7 +65,6 @@
 class Outbox:
     """Counts the lines that wait in the channel and the messages to each proxy, for rule 5."""
 
-    USED = 0.5  # half the limit: what can't be put off fits twice, so it finds room beside what waits
     SPARE = 3  # messages of the cap kept for withdrawals: about one list change in three seconds
 
     def __init__(self, host: Host, channel: Channel) -> None:
@@ -73,8 +72,7 @@
         self.gateways: dict[Gateway, None] = {}
         self._lines: dict[Gateway, float] = {}
         # Turns no closer than the cap's even pace, or a proxy would be owed more messages than it may get.
-        even = channel.cap_span // max(1, channel.message_cap - self.SPARE) if channel.message_cap else 0
-        self.beat = max(SECOND, even)
+        self.beat = max(SECOND, channel.cap_span // max(1, (channel.message_cap or 999) - self.SPARE))
 
     def joined(self, zone: str) -> list[Gateway]:
         return [gateway for gateway in self.gateways if gateway.zone == zone]
@@ -87,8 +85,8 @@
         """Whether `count` lines to each may be sent. Lines drain when a proxy says that it applied them."""
         now, channel = self._host.now(), self._channel
         waiting = sum(lines for gateway in self.gateways for _, lines in gateway.unapplied)
-        wanted = len(gateways) * (count + channel.head + 1) + sum(self._lines.values())
-        if waiting + wanted > self.USED * channel.pending_max:
+        waiting += len(gateways) * (count + channel.head + 1) + sum(self._lines.values())
+        if waiting > 0.5 * channel.pending_max:  # half: what can't be put off fits twice, and finds room
             return False  # a slow channel: more lines would only overrun it (rule 5)
         return not channel.message_cap or all(
             gateway in self._lines or gateway.messages.total(now, 21)[0] < channel.message_cap - self.SPARE
@@ -153,6 +151,7 @@
         if (server.standing, sign) in STANDINGS:
             server.standing, effect = STANDINGS[server.standing, sign]
             effect(self, server)
+            self._holds[server] = server.standing is not Standing.SERVING
 
     def tell(self) -> None:
         for server, out in self._holds.items():
@@ -160,13 +159,9 @@
             self._outbox.line(self._outbox.gateways)
         self._holds.clear()
 
-    def _withdraw(self, server: Server) -> None:
-        self._holds[server] = True
-
-    def _begin(self, server: Server) -> None:
+    def _reset(self, server: Server) -> None:
         server.out_until = server.out_for = 0
         server.forget(1.0, 0)
-        self._holds[server] = False
 
     def _exclude(self, server: Server) -> None:
         # Out for 4 s at first: shorter than most troubles last, and half a minute at most, with double the
@@ -174,11 +169,9 @@
         relapse = self._host.now() < server.out_until + 30 * SECOND
         server.out_for = min(30 * SECOND, (relapse and 2 * server.out_for) or 4 * SECOND)
         server.out_until, server.good_probes = self._host.now() + server.out_for, 0
-        self._holds[server] = True
 
     def _try_out(self, server: Server) -> None:
         server.forget(0.2, 9)  # a trial: weight enough to judge it by, and regained by a tenth a period
-        self._holds[server] = False
 
     def judge(self, demand: Demand) -> None:
         """Health, by comparison only: where all are slow or void, none is sick."""
@@ -219,8 +212,8 @@
         """Rule 1: the last line of a product is never withdrawn, and a quarter of the fleet always serves,
         since more than that sick at once is rather the manager's own view that is sick."""
         left = [other for other in self.in_service() if other is not server]
-        total = sum(other.size for other in self.servers if other.standing is not Standing.LEFT)
-        return sum(other.size for other in left) >= 0.25 * total and all(
+        listed = sum(other.standing is not Standing.LEFT for other in self.servers)
+        return 4 * len(left) >= listed and all(
             any(other.may_run(product, other.zone) for other in left) for product in self._products)
 
     def tries(self, event: Tries[Server]) -> None:
@@ -230,10 +223,10 @@
 
     def probed(self, event: Probed[Server]) -> None:
         server = event.worker
-        if event.result is not ProbeResult.TURNED_AWAY:  # too many at once says nothing of its health
-            good = event.result is ProbeResult.OK
-            server.good_probes, server.bad_probes = (
-                (server.good_probes + 1, 0) if good else (0, server.bad_probes + 1))
+        if event.result is ProbeResult.OK:
+            server.good_probes, server.bad_probes = server.good_probes + 1, 0
+        elif event.result is not ProbeResult.TURNED_AWAY:  # too many at once says nothing of its health
+            server.good_probes, server.bad_probes = 0, server.bad_probes + 1
 
     def tell_joiner(self, gateway: Gateway) -> None:
         """Standing tables still name servers that left: each joiner must be told again (rule 3)."""
@@ -244,12 +237,11 @@
 
 
 STANDINGS: dict[tuple[Standing, Sign], tuple[Standing, Callable[[Fleet, Server], None]]] = {
-    (Standing.LEFT, Sign.LISTED): (Standing.SERVING, Fleet._begin),
-    **{(standing, Sign.STARTED): (Standing.SERVING, Fleet._begin) for standing in Standing},
+    (Standing.LEFT, Sign.LISTED): (Standing.SERVING, Fleet._reset),
     (Standing.SERVING, Sign.SICK): (Standing.OUT, Fleet._exclude),
     (Standing.OUT, Sign.SOUND): (Standing.SERVING, Fleet._try_out),
-    (Standing.SERVING, Sign.LEAVING): (Standing.LEFT, Fleet._withdraw),
-    (Standing.OUT, Sign.LEAVING): (Standing.LEFT, Fleet._withdraw),
+    **{(standing, Sign.STARTED): (Standing.SERVING, Fleet._reset) for standing in Standing},
+    **{(standing, Sign.LEAVING): (Standing.LEFT, Fleet._reset) for standing in Standing},
 }
 
 
@@ -272,8 +264,7 @@
 
     def rate(self, gateway: Gateway, product: Product) -> float:
         if self._host.now() < gateway.joined_at + (self.WINDOW + 1) * SECOND:
-            # Not a whole window heard yet: its usual rate, by the products' mix. Taken for idle, the proxies
-            # that come over from a lost manager would be given next to no rate, and decline everything.
+            # Not a whole window heard yet. Taken for idle, the proxies of a lost manager would decline all.
             total = sum(self.smoothed.values())
             return gateway.usual_rate * (self.smoothed[product] / total if total else 1 / len(self._products))
         # By the time that the lines cover, not by the clock: they come late, merged, and out of step with it.
@@ -298,13 +289,13 @@
                 for zone in self._zones for product in self._products]
 
     def word(self) -> bytes:
-        """For peers: tries settled and their time, and own demand by zone and product, in tenths a second."""
-        return b"".join(struct.pack("<I", round(10 * x)) for x in (*self.heard_of, *self._own()))
+        """For peers: tries settled, their time, and own demand a second by zone and product."""
+        return b"".join(struct.pack("<f", value) for value in (*self.heard_of, *self._own()))
 
     def heard(self, event: PeerWord) -> None:
         if len(event.data) == 4 * (2 + len(self._zones) * len(self._products)):
-            rates = [rate / 10 for (rate,) in struct.iter_unpack("<I", event.data)]
-            self._told[event.peer] = (self._host.now(), rates)
+            values = [value for (value,) in struct.iter_unpack("<f", event.data)]
+            self._told[event.peer] = (self._host.now(), values)
 
     def told(self) -> list[list[float]]:
         return [rates for at, rates in self._told.values() if at > self._host.now() - self.WINDOW * SECOND]
@@ -319,8 +310,6 @@
 class Levels:
     """The design's overload shares, with the least that keeps them from spiralling down."""
 
-    DRAIN = 4 * SECOND  # time in which a queue above its aim is to be worked off: a few reports long
-
     def __init__(self, host: Host, outbox: Outbox, fleet: Fleet, demand: Demand,
                  products: Sequence[Product]) -> None:
         self._host, self._outbox, self._fleet, self._demand = host, outbox, fleet, demand
@@ -341,13 +330,12 @@
         seen = [sums for server in self._fleet.in_service()
                 if (sums := server.seen(self._host.now(), 2))[0] >= 3]
         self._settled = sum(sums[4] for sums in seen)
-        # The design's scaling by own proxies: one that comes or goes takes its part of the budget along, else
-        # those of a lost manager would be declined for long, or those that stay let in too much.
-        usual, before = sum(gateway.usual_rate for gateway in self._outbox.gateways), self._usual
-        part, self._usual = (usual / before if before else 1.0), usual
+        # The design's scaling by own proxies: one that comes or goes takes its part of the budget along.
+        before, self._usual = self._usual, sum(gateway.usual_rate for gateway in self._outbox.gateways)
+        part = self._usual / before if before else 1.0
         self._budget, self._best = part * self._budget, part * self._best
-        # The best of late, forgotten by a fortieth a period: own declines and client retries lower successes
-        # without lowering what the servers can do, and levels would follow them down.
+        # The best of late, forgotten by a fortieth a period: own declines and client retries lower successes,
+        # not what the servers can do, and levels would follow them down.
         self._best = max(self._settled, 0.975 * self._best)
         voids = sorted(sums[1] / sums[0] for sums in seen) or [0.0]
         times = sorted(sums[3] / sums[2] for sums in seen if sums[2]) or [0.0]
@@ -358,7 +346,7 @@
         self._bar = max(2 * self._quiet, 0.4 * sla)
         if self._load is Load.CALM and self._latency < self._bar:
             self._quiet += (0.05 if self._quiet else 1.0) * (self._latency - self._quiet)
-        # Voids alone are no lack of capacity: where servers that settle do so fast, something else loses txns.
+        # Voids alone are no lack of capacity: where txns settle fast, something else loses the others.
         if self._latency > (0.6 if voids[len(voids) // 2] > 0.05 else 1.0) * self._bar:
             return Heat.HOT
         return Heat.COOL if all(self.level(product) >= 1 for product in self._products) else Heat.MILD
@@ -367,13 +355,13 @@
         self._budget = 0.0
 
     def _impose(self) -> None:
-        # The design's reserve, and more the longer the queues are, so that what is over drains in time.
-        lean = 1 + (0.8 * self._bar - self._latency) / self.DRAIN
+        # The design's reserve, and more the longer the queues are, so that they drain in 4 s: some reports.
+        lean = 1 + (0.8 * self._bar - self._latency) / (4 * SECOND)
         self._share(max(0.5, min(0.9, lean)) * self._settled)
 
     def _ease(self) -> None:
-        # From the budget in force: what was let in arrives late and thinned, and would hold it down for good.
-        # Fast up to what the servers last did less the reserve, then slowly, as the limit must be near.
+        # From the budget in force, as what was let in is heard late and thinned, and would hold it down. Fast
+        # up to what the servers last did less the reserve, then slowly, as the limit must be near.
         most = 1.25 if self._budget < 0.9 * self._best else 1.05
         self._share(min(most, self._bar / max(1.0, self._latency)) * max(self._budget, self._settled))
 
@@ -410,8 +398,6 @@
 class Tables:
     """What stands in the shared tables, and when changes go out."""
 
-    HYSTERESIS = 0.1  # the document's
-    FULL_RATE = 1e6  # a rate that no proxy reaches: everything is let in
     SLACK = 1.1  # a tenth over even use stays home: demand is known no better than that
 
     def __init__(self, host: Host, outbox: Outbox, fleet: Fleet, demand: Demand, levels: Levels,
@@ -494,7 +480,8 @@
                 table.gates[product] = figure
 
     def _differs(self, before: float, after: float) -> bool:
-        return before != after and (not before or not after or abs(after - before) > self.HYSTERESIS * before)
+        # The document's hysteresis of a tenth.
+        return before != after and (not before or not after or abs(after - before) > 0.1 * before)
 
     def _figure(self, table: Table, product: Product) -> float:
         level = self._levels.level(product)
@@ -508,7 +495,7 @@
             if share and rate * (count - place) >= share:
                 return round(max(0.01, share / (count - place)), 3)
             share -= rate
-        return self.FULL_RATE
+        return 1e6  # a rate that no proxy reaches: everything is let in
 
 
 class Manager:
@@ -523,8 +510,6 @@
         self._may_probe, self._may_tell = may_probe, may_tell and managers > 1
         self._ask_within, self._cap_span, self._failures = guarantee.ask_within, channel.cap_span, 0
         self._outbox = Outbox(host, channel)
-        self._hurried = not channel.message_cap or (
-            guarantee.drain_grace < self._outbox.beat + channel.longest_way + SECOND // 2)
         self._fleet = Fleet(host, self._outbox, products, guarantee)
         self._demand = Demand(host, self._outbox, products, zones)
         self._levels = Levels(host, self._outbox, self._fleet, self._demand, products)
@@ -551,9 +536,8 @@
         self._failures = self._failures + 1 if event.kind is ListKind.FAILED else 0
         if not self._failures:
             self._fleet.listing(event)
-            # At once, unless messages are capped and the grace leaves time for the beat: changes of the list
-            # come one by one, and a message for each would pass the cap (rule 5).
-            return self._fleet.tell() if self._hurried else None
+            # Else at the beat: list changes come one by one, and a message for each would pass the cap.
+            return self._fleet.tell() if self._outbox.has_room(self._outbox.gateways, 1) else None
         # Asked again after a wait that doubles and differs by manager, lest all call at once; well inside the
         # time after which a manager is deemed told what it never heard (rule 3).
         wait = min(self._ask_within // 4, SECOND // 4 << min(self._failures, 7))
