--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -154,10 +154,9 @@
             self._holds[server] = server.standing is not Standing.SERVING
 
     def tell(self) -> None:
-        for server, out in self._holds.items():
-            self._host.hold_back(server, out)
+        while self._holds:
+            self._host.hold_back(*self._holds.popitem())
             self._outbox.line(self._outbox.gateways)
-        self._holds.clear()
 
     def _reset(self, server: Server) -> None:
         server.out_until = server.out_for = 0
@@ -189,11 +188,10 @@
         settled, time = map(sum, zip((settled, time), *(told[:2] for told in demand.told()), strict=True))
         answering = 2 * sum(server.bad_probes == 0 for server in serving) >= len(serving)
         for server, (n, v, s, t, _) in seen.items():
-            others = (voided - v) / max(1.0, many - n)
             ratio = t / s / (time / settled) if s >= 5 and t else 1.0
             # Mostly quick voids where the others have few: sick. One that voids and is slow is only too full,
             # and loses weight below; where voids are common, all are too full.
-            by_tries = v >= 4 and v > 0.35 * n and others < 0.1 and ratio < 1.5
+            by_tries = v >= 4 and v > 0.35 * n and voided - v < 0.1 * (many - n) and ratio < 1.5
             # No answer to probes nor to txns: under load probes wait in the queue, but txns still settle.
             by_probes = server.bad_probes >= 2 and answering and server.seen(now, 2)[2] == 0
             if (by_tries or by_probes) and self._can_spare(server):
@@ -204,7 +202,8 @@
             if s >= 5:
                 server.heard += 1
                 server.pace += max(0.15, 1 / (1 + server.heard)) * (min(2.0, 1 / ratio) - server.pace)
-            aim = min(1.6, max(0.3, server.pace))
+            # While cold, quick answers to a few txns are no sign of speed: it would be pushed over (rule 4).
+            aim = min(1.6 if self._ramp(server) >= 1 else 1.0, max(0.3, server.pace))
             step = max(0.1, 1 / (1 + server.heard))
             server.factor += max(-step, min(step, aim - server.factor))
 
@@ -218,8 +217,8 @@
 
     def tries(self, event: Tries[Server]) -> None:
         settled = event.many - event.voided
-        ring = event.worker.tries.setdefault(event.zone, Ring(SECOND, 6, 5))
-        ring.add(self._host.now(), event.many, event.voided, settled, settled * event.mean, event.covers)
+        event.worker.tries.setdefault(event.zone, Ring(SECOND, 6, 5)).add(
+            self._host.now(), event.many, event.voided, settled, settled * event.mean, event.covers)
 
     def probed(self, event: Probed[Server]) -> None:
         server = event.worker
@@ -269,7 +268,7 @@
             return gateway.usual_rate * (self.smoothed[product] / total if total else 1 / len(self._products))
         # By the time that the lines cover, not by the clock: they come late, merged, and out of step with it.
         many, covers = gateway.came[product].total(self._host.now(), self.WINDOW)
-        return SECOND * many / covers if covers else 0.0
+        return SECOND * many / max(1.0, covers)
 
     def left(self, gateway: Gateway) -> None:
         self._departed.append((self._host.now(), [self.rate(gateway, p) for p in self._products]))
@@ -320,7 +319,7 @@
         self._settled = self._budget = 0.0  # no budget: everything is let in
 
     def period(self) -> None:
-        """A fresh manager lets all in for the design's one period, as no report has come by its first."""
+        """A fresh manager lets all in for the design's one period: no report has come by its first."""
         self._demand.period()
         self._load, effect = LOADS[self._load, self._heat()]  # state, input, next state, effect
         effect(self)
@@ -537,7 +536,7 @@
         if not self._failures:
             self._fleet.listing(event)
             # Else at the beat: list changes come one by one, and a message for each would pass the cap.
-            return self._fleet.tell() if self._outbox.has_room(self._outbox.gateways, 1) else None
+            return self._act() if self._outbox.has_room(self._outbox.gateways, 1) else None
         # Asked again after a wait that doubles and differs by manager, lest all call at once; well inside the
         # time after which a manager is deemed told what it never heard (rule 3).
         wait = min(self._ask_within // 4, SECOND // 4 << min(self._failures, 7))
@@ -547,9 +546,8 @@
         if event.token == self.ASK:
             return self._host.watch(True)
         self._fleet.judge(self._demand)
-        self._fleet.tell()
         self._levels.period()
-        self._tables.refresh()
+        self._act()
         for server in self._fleet.servers if self._may_probe else ():
             if server.standing is not Standing.LEFT:
                 self._host.probe(server)
@@ -557,6 +555,10 @@
             self._host.tell(None, self._demand.word())
         return self._host.wake(self._outbox.beat, self.BEAT)
 
+    def _act(self) -> None:
+        self._fleet.tell()
+        self._tables.refresh()  # in one message: a release must not come before a cold server's little weight
+
     def _joined(self, event: Joined[Gateway]) -> None:
         gateway = event.proxy
         gateway.begin(self._host.now(), self._cap_span, self._products)
@@ -565,7 +567,6 @@
         self._fleet.tell_joiner(gateway)
 
     def _left(self, event: Left[Gateway]) -> None:
-        gateway = event.proxy
-        if gateway in self._outbox.gateways:
-            self._demand.left(gateway)
-            del self._outbox.gateways[gateway]
+        if event.proxy in self._outbox.gateways:
+            self._demand.left(event.proxy)
+            del self._outbox.gateways[event.proxy]
