Latency less the time by which proxies apply orders late

Orders meet the same stall, so their mean lag over 1.25 of the usual way is taken off. Guards against slow proxies of any cause; harms where the channel is slow during an overload: levels then come later.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -71,6 +71,7 @@
         self._host, self._channel, self._mark = host, channel, 0
         self.gateways: dict[Gateway, None] = {}
         self._lines: dict[Gateway, float] = {}
+        self._lags = Ring(SECOND, 6, 2)
         # Turns no closer than the cap's even pace, or a proxy would be owed more messages than it may get.
         self.beat = max(SECOND, channel.cap_span // max(1, (channel.message_cap or 999) - self.SPARE))
 
@@ -103,7 +104,13 @@
             gateway.messages.add(self._host.now(), 1)
         self._lines.clear()
 
+    def stalled(self) -> float:
+        """Time by which proxies act late on average, a quarter over the usual way: some stand still at times."""
+        many, time = self._lags.total(self._host.now(), 4)
+        return max(0.0, time / max(1.0, many) - 1.25 * self._channel.usual_way)
+
     def applied(self, event: Applied[Gateway]) -> None:
+        self._lags.add(self._host.now(), 1, event.elapsed)
         waiting = event.proxy.unapplied
         while event.number in (mark for mark, _ in waiting):
             waiting.popleft()
@@ -338,7 +345,8 @@
         self._best = max(self._settled, 0.975 * self._best)
         voids = sorted(sums[1] / sums[0] for sums in seen) or [0.0]
         times = sorted(sums[3] / sums[2] for sums in seen if sums[2]) or [0.0]
-        self._latency = times[len(times) // 2]
+        # Proxies that stand still measure their own stall: it is no lack of capacity, and orders meet it too.
+        self._latency = max(0.0, times[len(times) // 2] - self._outbox.stalled())
         demand = self._demand.smoothed
         sla = sum(p.sla_time * rate for p, rate in demand.items()) / (sum(demand.values()) or 1.0)
         # Twice the quiet average, yet at least two fifths of the SLA time: below that hardly a txn is late.
