--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -87,11 +87,10 @@
         now, channel = self._host.now(), self._channel
         waiting = sum(lines for gateway in self.gateways for _, lines in gateway.unapplied)
         waiting += len(gateways) * (count + channel.head + 1) + sum(self._lines.values())
-        if waiting > 0.5 * channel.pending_max:  # half: what can't be put off fits twice, and finds room
-            return False  # a slow channel: more lines would only overrun it (rule 5)
-        return not channel.message_cap or all(
+        # Half the limit: what can't be put off fits twice, and so finds room even on a slow channel (rule 5).
+        return waiting <= 0.5 * channel.pending_max and (not channel.message_cap or all(
             gateway in self._lines or gateway.messages.total(now, 21)[0] < channel.message_cap - self.SPARE
-            for gateway in gateways)
+            for gateway in gateways))
 
     def close(self) -> None:
         """Marks each message of the batch, so that its lines are known to have drained."""
@@ -105,7 +104,7 @@
         self._lines.clear()
 
     def stalled(self) -> float:
-        """Time by which proxies act late on average, a quarter over the usual way: some stand still at times."""
+        """By how much orders take effect late on average, past the usual way and a quarter."""
         many, time = self._lags.total(self._host.now(), 4)
         return max(0.0, time / max(1.0, many) - 1.25 * self._channel.usual_way)
 
@@ -141,8 +140,7 @@
                 self._turn(server, Sign.LEAVING)
 
     def _ramp(self, server: Server) -> float:
-        """The part of its size that a starting server surely has. Rule 4: from the list alone, so that all
-        managers reckon alike and their proxies together stay below it, whatever each of them sees."""
+        """What a starting server surely has: from the list alone, so that managers together keep rule 4."""
         if not server.started_at:
             return 1.0
         age = max(0.0, (self._host.now() - server.started_at) / max(1, self._cold_time))
@@ -196,8 +194,7 @@
         answering = 2 * sum(server.bad_probes == 0 for server in serving) >= len(serving)
         for server, (n, v, s, t, _) in seen.items():
             ratio = t / s / (time / settled) if s >= 5 and t else 1.0
-            # Mostly quick voids where the others have few: sick. One that voids and is slow is only too full,
-            # and loses weight below; where voids are common, all are too full.
+            # Mostly quick voids where the others have few: sick. Slow voids mean too full, and cost weight.
             by_tries = v >= 4 and v > 0.35 * n and voided - v < 0.1 * (many - n) and ratio < 1.5
             # No answer to probes nor to txns: under load probes wait in the queue, but txns still settle.
             by_probes = server.bad_probes >= 2 and answering and server.seen(now, 2)[2] == 0
@@ -215,8 +212,7 @@
             server.factor += max(-step, min(step, aim - server.factor))
 
     def _can_spare(self, server: Server) -> bool:
-        """Rule 1: the last line of a product is never withdrawn, and a quarter of the fleet always serves,
-        since more than that sick at once is rather the manager's own view that is sick."""
+        """Rule 1: never the last of a product, nor over three quarters: then the own view is sick."""
         left = [other for other in self.in_service() if other is not server]
         listed = sum(other.standing is not Standing.LEFT for other in self.servers)
         return 4 * len(left) >= listed and all(
@@ -290,27 +286,26 @@
             before, self.now[product] = self.smoothed[product], here + away
             self.smoothed[product] = before + 0.3 * (here + away - before) if before else here + away
 
-    def _own(self) -> list[float]:
-        return [sum(self.rate(gateway, product) for gateway in self._outbox.joined(zone))
-                for zone in self._zones for product in self._products]
-
     def word(self) -> bytes:
         """For peers: tries settled, their time, and own demand a second by zone and product."""
-        return b"".join(struct.pack("<f", value) for value in (*self.heard_of, *self._own()))
+        return b"".join(struct.pack("<f", value) for value in (*self.heard_of, *self.own().values()))
 
     def heard(self, event: PeerWord) -> None:
         if len(event.data) == 4 * (2 + len(self._zones) * len(self._products)):
             values = [value for (value,) in struct.iter_unpack("<f", event.data)]
             self._told[event.peer] = (self._host.now(), values)
 
+    def own(self) -> dict[tuple[str, Product], float]:
+        return {(zone, product): sum(self.rate(gateway, product) for gateway in self._outbox.joined(zone))
+                for zone in self._zones for product in self._products}
+
     def told(self) -> list[list[float]]:
         return [rates for at, rates in self._told.values() if at > self._host.now() - self.WINDOW * SECOND]
 
     def everywhere(self) -> dict[tuple[str, Product], float]:
         """Demand by zone and product, own and told."""
-        told = [rates[2:] for rates in self.told()]
-        places = [(zone, product) for zone in self._zones for product in self._products]
-        return dict(zip(places, map(sum, zip(self._own(), *told, strict=True)), strict=True))
+        own, told = self.own(), [rates[2:] for rates in self.told()]
+        return dict(zip(own, map(sum, zip(own.values(), *told, strict=True)), strict=True))
 
 
 class Levels:
@@ -322,7 +317,7 @@
         self._products, self._usual = products, 0.0
         self._load = Load.CALM
         self._shares: dict[Product, float] = {}
-        self._quiet = self._latency = self._bar = self._best = 0.0
+        self._plain = self._quiet = self._latency = self._bar = self._best = 0.0
         self._settled = self._budget = 0.0  # no budget: everything is let in
 
     def period(self) -> None:
@@ -340,19 +335,20 @@
         before, self._usual = self._usual, sum(gateway.usual_rate for gateway in self._outbox.gateways)
         part = self._usual / before if before else 1.0
         self._budget, self._best = part * self._budget, part * self._best
-        # The best of late, forgotten by a fortieth a period: own declines and client retries lower successes,
-        # not what the servers can do, and levels would follow them down.
+        # The best of late, fading: own declines and client retries lower successes, not what servers can do.
         self._best = max(self._settled, 0.975 * self._best)
         voids = sorted(sums[1] / sums[0] for sums in seen) or [0.0]
         times = sorted(sums[3] / sums[2] for sums in seen if sums[2]) or [0.0]
         # Proxies that stand still measure their own stall: it is no lack of capacity, and orders meet it too.
-        self._latency = max(0.0, times[len(times) // 2] - self._outbox.stalled())
+        before, self._plain = self._plain, max(0.0, times[len(times) // 2] - self._outbox.stalled())
+        # Led by its change where it nears the bar, as reports come a beat or two late; below, that is noise.
+        self._latency = max(0.0, 2 * self._plain - before) if self._plain > 0.75 * self._bar else self._plain
         demand = self._demand.smoothed
         sla = sum(p.sla_time * rate for p, rate in demand.items()) / (sum(demand.values()) or 1.0)
         # Twice the quiet average, yet at least two fifths of the SLA time: below that hardly a txn is late.
         self._bar = max(2 * self._quiet, 0.4 * sla)
         if self._load is Load.CALM and self._latency < self._bar:
-            self._quiet += (0.05 if self._quiet else 1.0) * (self._latency - self._quiet)
+            self._quiet += (0.05 if self._quiet else 1.0) * (self._plain - self._quiet)
         # Voids alone are no lack of capacity: where txns settle fast, something else loses the others.
         if self._latency > (0.6 if voids[len(voids) // 2] > 0.05 else 1.0) * self._bar:
             return Heat.HOT
@@ -480,8 +476,7 @@
             figure, before = self._figure(table, product), table.gates.get(product, 0.0)
             # The last step to full always goes out: held back as a small change, it would decline for good.
             if self._differs(before, figure) or before < 1 <= figure:
-                # No try after one that may have run: it breaks rule 2 for some products, and for the others
-                # it feeds every jam, above all at proxies that have lost their manager and keep trying.
+                # No try after one that may have run: rule 2, and proxies without a manager would feed jams.
                 self._host.gate(table.number, [product], figure, Retry.UNSENT)
                 self._outbox.line(gateways)
                 table.gates[product] = figure
@@ -494,8 +489,7 @@
         level = self._levels.level(product)
         if self._unit is not LevelUnit.RATE:
             return round(level, 3)
-        # The one rate a proxy at which the table's proxies together let in their share: those with less
-        # demand leave theirs to the busy ones, where an equal split would leave it unused.
+        # The one rate at which the table's proxies let in their share: idle ones leave theirs to the busy.
         rates = sorted(self._demand.rate(gateway, product) for gateway in self._outbox.joined(table.zone))
         share, count = level * sum(rates), len(rates)
         for place, rate in enumerate(rates if level < 1 else ()):
@@ -545,8 +539,7 @@
             self._fleet.listing(event)
             # Else at the beat: list changes come one by one, and a message for each would pass the cap.
             return self._act() if self._outbox.has_room(self._outbox.gateways, 1) else None
-        # Asked again after a wait that doubles and differs by manager, lest all call at once; well inside the
-        # time after which a manager is deemed told what it never heard (rule 3).
+        # Asked again after a doubling wait that differs by manager, well inside the time that binds (rule 3).
         wait = min(self._ask_within // 4, SECOND // 4 << min(self._failures, 7))
         return self._host.wake(1 + int(wait * (0.5 + self._draw())), self.ASK)
 
