Rule 4: no cold server in a jam; blame by zone; a zone that joins is released

Now cold servers get nothing while a quarter of tries void, or until reports tell. Harms: cold capacity idle for the length of a jam.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -1,7 +1,7 @@
 """All decisions of a rushladder manager: tables, levels, withdrawals, probes.
 
-An adapter (`benchlink` on the bench, the manager's own network code later) makes one `Manager` a process,
-gives `take` every event of a batch and calls `close` at its end. Its interface is `interface.py`.
+An adapter (`benchlink`; later the manager's network code) makes one `Manager` a process, gives `take` every
+event of a batch and calls `close` at its end. Its interface is `interface.py`.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Collection, Sequence
 from enum import Enum
 from random import Random
+from statistics import fmean, median_high
 
 from rushladder.interface import (
     Applied, Arrivals, Availability, Channel, Event, Guarantee, Host, Joined, Left, LevelUnit, Listing,
@@ -21,7 +22,7 @@
 SECOND = 10_000
 # LEFT: drains or is gone, withdrawn whatever tables name it; OUT: withdrawn as sick.
 Standing = Enum("Standing", "LEFT SERVING OUT")
-Sign = Enum("Sign", "LISTED STARTED LEAVING SICK SOUND")
+Sign = Enum("Sign", "LISTED STARTED LEAVING SICK SOUND REACHED")
 Load = Enum("Load", "CALM SHED")
 Heat = Enum("Heat", "HOT MILD COOL")
 
@@ -55,25 +56,22 @@
 class Gateway(Proxy):
     """A proxy with what this manager sent it and heard of it."""
 
-    def begin(self, now: int, cap_span: int, products: Sequence[Product]) -> None:
+    def begin(self, now: int, products: Sequence[Product]) -> None:
         self.joined_at = now
         self.unapplied: deque[tuple[int, float]] = deque()
-        self.messages = Ring(cap_span // 20 + 1, 21)  # fine enough that the cap loses a twentieth at most
         self.came = {product: Ring(SECOND, 6, 2) for product in products}  # many, time covered
 
 
 class Outbox:
-    """Counts the lines that wait in the channel and the messages to each proxy, for rule 5."""
-
-    SPARE = 3  # messages of the cap kept for withdrawals: about one list change in three seconds
+    """Counts the lines that wait in the channel, and sets the pace of messages, for rule 5."""
 
     def __init__(self, host: Host, channel: Channel) -> None:
         self._host, self._channel, self._mark = host, channel, 0
         self.gateways: dict[Gateway, None] = {}
         self._lines: dict[Gateway, float] = {}
         self._lags = Ring(SECOND, 6, 2)
-        # Turns no closer than the cap's even pace, or a proxy would be owed more messages than it may get.
-        self.beat = max(SECOND, channel.cap_span // max(1, (channel.message_cap or 999) - self.SPARE))
+        # No closer than the cap's even pace, less three for its join and a late beat or two.
+        self.beat = max(SECOND, channel.cap_span // max(1, (channel.message_cap or 999) - 3))
 
     def joined(self, zone: str) -> list[Gateway]:
         return [gateway for gateway in self.gateways if gateway.zone == zone]
@@ -82,15 +80,12 @@
         for gateway in gateways:
             self._lines[gateway] = self._lines.get(gateway, 0.0) + count
 
-    def has_room(self, gateways: Collection[Gateway], count: float) -> bool:
-        """Whether `count` lines to each may be sent. Lines drain when a proxy says that it applied them."""
-        now, channel = self._host.now(), self._channel
+    def has_room(self, zone: str, count: float) -> bool:
+        """Whether `count` lines to each there may be sent. Lines drain when a proxy says it applied them."""
         waiting = sum(lines for gateway in self.gateways for _, lines in gateway.unapplied)
-        waiting += len(gateways) * (count + channel.head + 1) + sum(self._lines.values())
+        waiting += len(self.joined(zone)) * (count + self._channel.head + 1) + sum(self._lines.values())
         # Half the limit: what can't be put off fits twice, and so finds room even on a slow channel (rule 5).
-        return waiting <= 0.5 * channel.pending_max and (not channel.message_cap or all(
-            gateway in self._lines or gateway.messages.total(now, 21)[0] < channel.message_cap - self.SPARE
-            for gateway in gateways))
+        return waiting <= 0.5 * self._channel.pending_max
 
     def close(self) -> None:
         """Marks each message of the batch, so that its lines are known to have drained."""
@@ -100,7 +95,6 @@
             self._host.checkpoint(self._mark, False)
         for gateway in sent:
             gateway.unapplied.append((self._mark, self._lines[gateway] + self._channel.head + 1))
-            gateway.messages.add(self._host.now(), 1)
         self._lines.clear()
 
     def stalled(self) -> float:
@@ -122,6 +116,7 @@
         self._host, self._outbox, self._products = host, outbox, products
         self._cold_time, self._cold_from = guarantee.cold_time, guarantee.cold_from
         self.servers: dict[Server, None] = {}
+        self.jammed = True  # until reports tell
         self._holds: dict[Server, bool] = {}  # withdrawals and releases still to be told
 
     def listing(self, event: Listing[Server]) -> None:
@@ -135,22 +130,20 @@
             if entry.availability is Availability.READY:
                 restarted = entry.started_at != server.started_at
                 server.size, server.started_at = max(entry.size, 1e-3), entry.started_at
-                self._turn(server, Sign.STARTED if restarted and self._ramp(server) < 1 else Sign.LISTED)
+                self._turn(server, Sign.STARTED if restarted and self.ramp(server) < 1 else Sign.LISTED)
             else:
                 self._turn(server, Sign.LEAVING)
 
-    def _ramp(self, server: Server) -> float:
+    def ramp(self, server: Server) -> float:
         """What a starting server surely has: from the list alone, so that managers together keep rule 4."""
-        if not server.started_at:
-            return 1.0
-        age = max(0.0, (self._host.now() - server.started_at) / max(1, self._cold_time))
-        return min(1.0, self._cold_from + (1 - self._cold_from) * age)
+        age = (self._host.now() - server.started_at) / max(1, self._cold_time) if server.started_at else 1.0
+        return min(1.0, self._cold_from + (1 - self._cold_from) * max(0.0, age))
 
     def in_service(self) -> list[Server]:
         return [server for server in self.servers if server.standing is Standing.SERVING]
 
-    def capacity(self, server: Server) -> float:
-        return server.size * server.factor * self._ramp(server)
+    def capacity(self) -> dict[Server, float]:
+        return {server: server.size * server.factor * self.ramp(server) for server in self.in_service()}
 
     def _turn(self, server: Server, sign: Sign) -> None:  # STANDINGS: state, input, next state, effect
         if (server.standing, sign) in STANDINGS:
@@ -168,8 +161,7 @@
         server.forget(1.0, 0)
 
     def _exclude(self, server: Server) -> None:
-        # Out for 4 s at first: shorter than most troubles last, and half a minute at most, with double the
-        # time after each relapse, since a server that fails its trial costs txns at every one.
+        # 4 s at first, shorter than most troubles last; doubled at a relapse, as failed trials cost txns.
         relapse = self._host.now() < server.out_until + 30 * SECOND
         server.out_for = min(30 * SECOND, (relapse and 2 * server.out_for) or 4 * SECOND)
         server.out_until, server.good_probes = self._host.now() + server.out_for, 0
@@ -191,14 +183,22 @@
         # A manager whose proxies use one zone's servers would not see that all of those are slow.
         demand.heard_of = (settled, time)
         settled, time = map(sum, zip((settled, time), *(told[:2] for told in demand.told()), strict=True))
-        answering = 2 * sum(server.bad_probes == 0 for server in serving) >= len(serving)
+        self.jammed = voided >= 0.25 * many
+        # Probes blame a server while half its zone answers, or a whole zone, cut off, while another does.
+        # In a jam they fail everywhere: blaming one after the other would push over the rest.
+        listed = [server for server in self.servers if server.standing is not Standing.LEFT]
+        good = {zone: fmean(not s.bad_probes for s in listed if s.zone == zone)
+                for zone in dict.fromkeys(s.zone for s in listed)}
+        blamed = [zone for zone in good if good[zone] >= 0.5 or (not good[zone] and max(good.values()) > 0.7)]
         for server, (n, v, s, t, _) in seen.items():
             ratio = t / s / (time / settled) if s >= 5 and t else 1.0
             # Mostly quick voids where the others have few: sick. Slow voids mean too full, and cost weight.
             by_tries = v >= 4 and v > 0.35 * n and voided - v < 0.1 * (many - n) and ratio < 1.5
             # No answer to probes nor to txns: under load probes wait in the queue, but txns still settle.
-            by_probes = server.bad_probes >= 2 and answering and server.seen(now, 2)[2] == 0
-            if (by_tries or by_probes) and self._can_spare(server):
+            by_probes = server.bad_probes >= 2 and server.zone in blamed and not server.seen(now, 2)[2]
+            if (by_tries or by_probes) and all(any(  # rule 1: never the last server of a product
+                    other is not server and other.may_run(product, other.zone)
+                    for other in self.in_service()) for product in self._products):
                 self._turn(server, Sign.SICK)
                 continue
             # The companion: a tenth of weight lost a period while above the table's latency, and restored. As
@@ -206,18 +206,11 @@
             if s >= 5:
                 server.heard += 1
                 server.pace += max(0.15, 1 / (1 + server.heard)) * (min(2.0, 1 / ratio) - server.pace)
-            # While cold, quick answers to a few txns are no sign of speed: it would be pushed over (rule 4).
-            aim = min(1.6 if self._ramp(server) >= 1 else 1.0, max(0.3, server.pace))
+            # While cold, quick answers to a few txns are no sign of speed (rule 4).
+            aim = min(1.6 if self.ramp(server) >= 1 else 1.0, max(0.3, server.pace))
             step = max(0.1, 1 / (1 + server.heard))
             server.factor += max(-step, min(step, aim - server.factor))
 
-    def _can_spare(self, server: Server) -> bool:
-        """Rule 1: never the last of a product, nor over three quarters: then the own view is sick."""
-        left = [other for other in self.in_service() if other is not server]
-        listed = sum(other.standing is not Standing.LEFT for other in self.servers)
-        return 4 * len(left) >= listed and all(
-            any(other.may_run(product, other.zone) for other in left) for product in self._products)
-
     def tries(self, event: Tries[Server]) -> None:
         settled = event.many - event.voided
         event.worker.tries.setdefault(event.zone, Ring(SECOND, 6, 5)).add(
@@ -230,11 +223,15 @@
         elif event.result is not ProbeResult.TURNED_AWAY:  # too many at once says nothing of its health
             server.good_probes, server.bad_probes = 0, server.bad_probes + 1
 
-    def tell_joiner(self, gateway: Gateway) -> None:
-        """Standing tables still name servers that left: each joiner must be told again (rule 3)."""
+    def joined(self, gateway: Gateway) -> None:
+        """A proxy that joins from a zone withdrawn as cut off can use its servers at once; and as standing
+        tables still name servers that left, each joiner must be told again (rule 3)."""
+        cut = gateway.zone not in [server.zone for server in self.in_service()]
         for server in self.servers:
-            if server.standing is not Standing.SERVING:
-                self._host.hold_back(server, True)
+            if cut and server.zone == gateway.zone:
+                self._turn(server, Sign.REACHED)
+            if cut or server.standing is not Standing.SERVING:
+                self._host.hold_back(server, server.standing is not Standing.SERVING)
                 self._outbox.line([gateway])
 
 
@@ -242,6 +239,7 @@
     (Standing.LEFT, Sign.LISTED): (Standing.SERVING, Fleet._reset),
     (Standing.SERVING, Sign.SICK): (Standing.OUT, Fleet._exclude),
     (Standing.OUT, Sign.SOUND): (Standing.SERVING, Fleet._try_out),
+    (Standing.OUT, Sign.REACHED): (Standing.SERVING, Fleet._reset),
     **{(standing, Sign.STARTED): (Standing.SERVING, Fleet._reset) for standing in Standing},
     **{(standing, Sign.LEAVING): (Standing.LEFT, Fleet._reset) for standing in Standing},
 }
@@ -257,8 +255,9 @@
         self._departed: deque[tuple[int, list[float]]] = deque()
         self._told: dict[int, tuple[int, list[float]]] = {}
         self.heard_of: tuple[float, float] = (0.0, 0.0)
-        self.smoothed: dict[Product, float] = dict.fromkeys(products, 0.0)
-        self.now: dict[Product, float] = dict.fromkeys(products, 0.0)
+        self.smoothed, self.now = dict.fromkeys(products, 0.0), dict.fromkeys(products, 0.0)
+        # Each one's part; until heard, none for products tied to models, whose servers would be kept idle.
+        self.mix = {p: (not p.models) / (sum(not q.models for q in products) or 1) for p in products}
 
     def arrivals(self, event: Arrivals[Gateway]) -> None:
         if event.proxy in self._outbox.gateways:
@@ -267,8 +266,7 @@
     def rate(self, gateway: Gateway, product: Product) -> float:
         if self._host.now() < gateway.joined_at + (self.WINDOW + 1) * SECOND:
             # Not a whole window heard yet. Taken for idle, the proxies of a lost manager would decline all.
-            total = sum(self.smoothed.values())
-            return gateway.usual_rate * (self.smoothed[product] / total if total else 1 / len(self._products))
+            return gateway.usual_rate * self.mix[product]
         # By the time that the lines cover, not by the clock: they come late, merged, and out of step with it.
         many, covers = gateway.came[product].total(self._host.now(), self.WINDOW)
         return SECOND * many / max(1.0, covers)
@@ -285,6 +283,8 @@
             away = sum(rates[place] for _, rates in self._departed)
             before, self.now[product] = self.smoothed[product], here + away
             self.smoothed[product] = before + 0.3 * (here + away - before) if before else here + away
+        if total := sum(self.smoothed.values()):
+            self.mix = {product: rate / total for product, rate in self.smoothed.items()}
 
     def word(self) -> bytes:
         """For peers: tries settled, their time, and own demand a second by zone and product."""
@@ -295,13 +295,13 @@
             values = [value for (value,) in struct.iter_unpack("<f", event.data)]
             self._told[event.peer] = (self._host.now(), values)
 
+    def told(self) -> list[list[float]]:
+        return [rates for at, rates in self._told.values() if at > self._host.now() - self.WINDOW * SECOND]
+
     def own(self) -> dict[tuple[str, Product], float]:
         return {(zone, product): sum(self.rate(gateway, product) for gateway in self._outbox.joined(zone))
                 for zone in self._zones for product in self._products}
 
-    def told(self) -> list[list[float]]:
-        return [rates for at, rates in self._told.values() if at > self._host.now() - self.WINDOW * SECOND]
-
     def everywhere(self) -> dict[tuple[str, Product], float]:
         """Demand by zone and product, own and told."""
         own, told = self.own(), [rates[2:] for rates in self.told()]
@@ -315,10 +315,9 @@
                  products: Sequence[Product]) -> None:
         self._host, self._outbox, self._fleet, self._demand = host, outbox, fleet, demand
         self._products, self._usual = products, 0.0
-        self._load = Load.CALM
-        self._shares: dict[Product, float] = {}
+        self._load, self._shares = Load.CALM, dict[Product, float]()
         self._plain = self._quiet = self._latency = self._bar = self._best = 0.0
-        self._settled = self._budget = 0.0  # no budget: everything is let in
+        self._settled = self._budget = 0.0  # no budget: all is let in
 
     def period(self) -> None:
         """A fresh manager lets all in for the design's one period: no report has come by its first."""
@@ -337,20 +336,19 @@
         self._budget, self._best = part * self._budget, part * self._best
         # The best of late, fading: own declines and client retries lower successes, not what servers can do.
         self._best = max(self._settled, 0.975 * self._best)
-        voids = sorted(sums[1] / sums[0] for sums in seen) or [0.0]
-        times = sorted(sums[3] / sums[2] for sums in seen if sums[2]) or [0.0]
+        voids = median_high([sums[1] / sums[0] for sums in seen] or [0.0])
+        latency = median_high([sums[3] / sums[2] for sums in seen if sums[2]] or [0.0])
         # Proxies that stand still measure their own stall: it is no lack of capacity, and orders meet it too.
-        before, self._plain = self._plain, max(0.0, times[len(times) // 2] - self._outbox.stalled())
+        before, self._plain = self._plain, max(0.0, latency - self._outbox.stalled())
         # Led by its change where it nears the bar, as reports come a beat or two late; below, that is noise.
         self._latency = max(0.0, 2 * self._plain - before) if self._plain > 0.75 * self._bar else self._plain
-        demand = self._demand.smoothed
-        sla = sum(p.sla_time * rate for p, rate in demand.items()) / (sum(demand.values()) or 1.0)
+        sla = sum(product.sla_time * part for product, part in self._demand.mix.items())
         # Twice the quiet average, yet at least two fifths of the SLA time: below that hardly a txn is late.
         self._bar = max(2 * self._quiet, 0.4 * sla)
         if self._load is Load.CALM and self._latency < self._bar:
             self._quiet += (0.05 if self._quiet else 1.0) * (self._plain - self._quiet)
         # Voids alone are no lack of capacity: where txns settle fast, something else loses the others.
-        if self._latency > (0.6 if voids[len(voids) // 2] > 0.05 else 1.0) * self._bar:
+        if self._latency > (0.6 if voids > 0.05 else 1.0) * self._bar:
             return Heat.HOT
         return Heat.COOL if all(self.level(product) >= 1 for product in self._products) else Heat.MILD
 
@@ -370,9 +368,8 @@
 
     def _share(self, budget: float) -> None:
         # Never under 0.65 of the best (tried 0.6 to 0.8): latency tells of queues that may be gone by now.
-        self._budget, demand = max(budget, 0.65 * self._best), self._demand.smoothed
-        total = sum(demand.values()) or 1.0
-        self._shares = {p: max(0.05, rate / total) * self._budget for p, rate in demand.items()}
+        self._budget = max(budget, 0.65 * self._best)
+        self._shares = {p: max(0.05, part) * self._budget for p, part in self._demand.mix.items()}
 
     def level(self, product: Product) -> float:
         demand = self._demand.now[product]
@@ -393,16 +390,13 @@
 
     def __init__(self, number: int, zone: str, products: Sequence[Product]) -> None:
         self.number, self.zone, self.products = number, zone, products
-        self.wanted: dict[Server, float] = {}
-        self.lines: dict[Server, float] = {}
+        self.wanted, self.lines = dict[Server, float](), dict[Server, float]()
         self.gates: dict[Product, float] = {}
 
 
 class Tables:
     """What stands in the shared tables, and when changes go out."""
 
-    SLACK = 1.1  # a tenth over even use stays home: demand is known no better than that
-
     def __init__(self, host: Host, outbox: Outbox, fleet: Fleet, demand: Demand, levels: Levels,
                  products: Sequence[Product], zones: Sequence[str], unit: LevelUnit) -> None:
         self._host, self._outbox, self._fleet, self._demand = host, outbox, fleet, demand
@@ -425,20 +419,21 @@
     def refresh(self) -> None:
         self._plan()
         for table in self._tables:
-            lines = len(table.wanted) + len(table.products)
-            if self._outbox.has_room(self._outbox.joined(table.zone), lines):
+            if self._outbox.has_room(table.zone, len(table.wanted) + len(table.products)):
                 self._send(table)
 
     def _plan(self) -> None:
-        """Home first: each zone's demand goes to its own servers up to the fleet's even use, and only what is
-        over crosses zones. Listed weights, less what health and starting up take, are the capacities."""
-        capacity = {server: self._fleet.capacity(server) for server in self._fleet.in_service()}
+        """Home first: a zone's demand goes to its own servers up to the even use; only the rest crosses."""
+        capacity = self._fleet.capacity()
         demand = self._demand.everywhere()
         heard = {zone for (zone, _), rate in demand.items() if rate > 0}
         known = sum(size for server, size in capacity.items() if server.zone in heard) or 1.0
         use = max(1e-3, sum(demand.values())) / known
-        # A zone of which nothing is heard is as busy as the rest, or cut off: nothing may spill to it.
-        room = {server: self.SLACK * use * size * (server.zone in heard) for server, size in capacity.items()}
+        # Rule 4: in a jam proxies avoid full servers, and would turn to a cold one all at once.
+        warm = {server: size for server, size in capacity.items() if self._fleet.ramp(server) >= 1}
+        # Nothing spills to a zone that is not heard of. A tenth over even use stays home: it is known no better.
+        room = {server: 1.1 * use * size for server, size in (
+            warm if self._fleet.jammed else capacity).items() if server.zone in heard}
         # The products with the fewest servers choose first.
         order = sorted(((table, [s for s in capacity if s.may_run(table.products[0], table.zone)])
                         for table in self._tables), key=lambda item: len(item[1]))
@@ -447,7 +442,7 @@
             table.wanted = {}
             self._pour(wants[table], [s for s in may if s.zone == table.zone], room, table.wanted)
         for table, may in order:
-            for left in (room, dict(capacity)):  # what has room, then whatever there is
+            for left in (room, dict(warm), dict(capacity)):  # what has room, then whatever there is
                 self._pour(wants[table] - sum(table.wanted.values()), may, left, table.wanted)
             # A line under a hundredth of its table costs a connection and carries nothing.
             total = sum(table.wanted.values())
@@ -456,8 +451,8 @@
     @staticmethod
     def _pour(want: float, servers: Sequence[Server], room: dict[Server, float],
               flow: dict[Server, float]) -> None:
-        free = sum(room[server] for server in servers)
-        for server in servers if free > 0 and want > 0 else ():
+        free = sum(room.get(server, 0.0) for server in servers)
+        for server in [server for server in servers if server in room and want > 0 and free > 0]:
             part = min(1.0, want / free) * room[server]
             flow[server] = flow.get(server, 0.0) + part
             room[server] -= part
@@ -509,8 +504,10 @@
                  asks_list: bool, may_tell: bool, slices: int) -> None:
         self._host, self._draw, self._products = host, Random(seed).random, products
         self._may_probe, self._may_tell = may_probe, may_tell and managers > 1
-        self._ask_within, self._cap_span, self._failures = guarantee.ask_within, channel.cap_span, 0
+        self._ask_within, self._failures = guarantee.ask_within, 0
         self._outbox = Outbox(host, channel)
+        self._at_once = not channel.message_cap or (
+            guarantee.drain_grace < self._outbox.beat + channel.longest_way)
         self._fleet = Fleet(host, self._outbox, products, guarantee)
         self._demand = Demand(host, self._outbox, products, zones)
         self._levels = Levels(host, self._outbox, self._fleet, self._demand, products)
@@ -538,7 +535,7 @@
         if not self._failures:
             self._fleet.listing(event)
             # Else at the beat: list changes come one by one, and a message for each would pass the cap.
-            return self._act() if self._outbox.has_room(self._outbox.gateways, 1) else None
+            return self._act() if self._at_once else None
         # Asked again after a doubling wait that differs by manager, well inside the time that binds (rule 3).
         wait = min(self._ask_within // 4, SECOND // 4 << min(self._failures, 7))
         return self._host.wake(1 + int(wait * (0.5 + self._draw())), self.ASK)
@@ -562,10 +559,10 @@
 
     def _joined(self, event: Joined[Gateway]) -> None:
         gateway = event.proxy
-        gateway.begin(self._host.now(), self._cap_span, self._products)
+        gateway.begin(self._host.now(), self._products)
         self._outbox.gateways[gateway] = None
+        self._fleet.joined(gateway)
         self._tables.join(gateway)
-        self._fleet.tell_joiner(gateway)
 
     def _left(self, event: Left[Gateway]) -> None:
         if event.proxy in self._outbox.gateways:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -85,6 +85,29 @@
         self.assertNotEqual({server for server, out in host.named("hold_back") if out}, set(host.servers))
 
 
+    def test_in_a_jam_probes_blame_no_one_and_a_cold_server_gets_nothing(self) -> None:
+        host = FakeHost(servers=8)
+        host.join()
+        host.run(5)
+        host.hung.update(host.servers[:7])
+        host.run(2)
+        host.roster(ListKind.CHANGES, host.servers[7], started_at=host.clock)
+        host.run(12)
+        self.assertFalse([server for server, out in host.named("hold_back") if out])
+        self.assertNotIn(host.servers[7], host.lines(1))
+
+    def test_a_zone_withdrawn_as_cut_off_serves_again_once_a_proxy_of_it_joins(self) -> None:
+        host = FakeHost()
+        host.join(host.gateways[0], host.gateways[2])
+        host.run(5)
+        far = [server for server in host.servers if server.zone == "b"]
+        host.hung.update(far)
+        host.run(6)
+        self.assertTrue(all((server, True) in host.named("hold_back") for server in far))
+        orders = host.join(host.gateways[1])
+        self.assertTrue(all((server, False) in host.named("hold_back", orders) for server in far))
+
+
 class LevelStories(unittest.TestCase):
     def overloaded(self, **more: object) -> FakeHost:
         host = FakeHost(**more)  # type: ignore[arg-type]
