--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -431,7 +431,7 @@
         use = max(1e-3, sum(demand.values())) / known
         # Rule 4: in a jam proxies avoid full servers, and would turn to a cold one all at once.
         warm = {server: size for server, size in capacity.items() if self._fleet.ramp(server) >= 1}
-        # Nothing spills to a zone that is not heard of. A tenth over even use stays home: it is known no better.
+        # Nothing spills to zones unheard of. A tenth over even use stays home: it is known no better.
         room = {server: 1.1 * use * size for server, size in (
             warm if self._fleet.jammed else capacity).items() if server.zone in heard}
         # The products with the fewest servers choose first.
