--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -202,10 +202,10 @@
                 self._turn(server, Sign.SICK)
                 continue
             # The companion: a tenth of weight lost a period while above the table's latency, and restored. As
-            # listed weights are rough, the aim is the table's latency over the server's, smoothed over 7 s.
+            # listed weights are rough, the aim is the table's latency over the server's, smoothed over 10 s.
             if s >= 5:
                 server.heard += 1
-                server.pace += max(0.15, 1 / (1 + server.heard)) * (min(2.0, 1 / ratio) - server.pace)
+                server.pace += max(0.1, 1 / (1 + server.heard)) * (min(2.0, 1 / ratio) - server.pace)
             # While cold, quick answers to a few txns are no sign of speed (rule 4).
             aim = min(1.6 if self.ramp(server) >= 1 else 1.0, max(0.3, server.pace))
             step = max(0.1, 1 / (1 + server.heard))
