Overload bar at 0.35 of the SLA time

Guards against slow creep; harms where a deployment's usual latency is near a third of its SLA time: twice the quiet average then rules.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -343,8 +343,8 @@
         # Led by its change where it nears the bar, as reports come a beat or two late; below, that is noise.
         self._latency = max(0.0, 2 * self._plain - before) if self._plain > 0.75 * self._bar else self._plain
         sla = sum(product.sla_time * part for product, part in self._demand.mix.items())
-        # Twice the quiet average, yet at least two fifths of the SLA time: below that hardly a txn is late.
-        self._bar = max(2 * self._quiet, 0.4 * sla)
+        # Twice the quiet average, yet at least 0.35 of the SLA time: below that hardly a txn is late.
+        self._bar = max(2 * self._quiet, 0.35 * sla)
         if self._load is Load.CALM and self._latency < self._bar:
             self._quiet += (0.05 if self._quiet else 1.0) * (self._plain - self._quiet)
         # Voids alone are no lack of capacity: where txns settle fast, something else loses the others.
