Rule 1: no zone-bound product loses its last server; without probes time brings servers back

Found by reading: a product that may not cross was counted safe by another zone's servers, and where probes are not allowed a withdrawn server never came back. Tests for both fail without the change.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -32,8 +32,8 @@
 
     def __init__(self, name: str, zone: str, model: str, cell: int) -> None:
         super().__init__(name, zone, model, cell)
-        self.size, self.started_at, self.standing = 1.0, 0, Standing.LEFT
-        self.out_until = self.out_for = 0
+        self.size, self.standing = 1.0, Standing.LEFT
+        self.started_at = self.out_until = self.out_for = 0
         self.forget(1.0, 0)
 
     def forget(self, factor: float, heard: int) -> None:
@@ -77,8 +77,7 @@
         return [gateway for gateway in self.gateways if gateway.zone == zone]
 
     def line(self, gateways: Collection[Gateway], count: float = 1) -> None:
-        for gateway in gateways:
-            self._lines[gateway] = self._lines.get(gateway, 0.0) + count
+        self._lines.update({gateway: self._lines.get(gateway, 0.0) + count for gateway in gateways})
 
     def has_room(self, zone: str, count: float) -> bool:
         """Whether `count` lines to each there may be sent. Lines drain when a proxy says it applied them."""
@@ -112,12 +111,12 @@
 class Fleet:
     """The servers: what the list says of them, and which of them are sick."""
 
-    def __init__(self, host: Host, outbox: Outbox, products: Sequence[Product], guarantee: Guarantee) -> None:
-        self._host, self._outbox, self._products = host, outbox, products
+    def __init__(self, host: Host, outbox: Outbox, products: Sequence[Product], guarantee: Guarantee,
+                 may_probe: bool) -> None:
+        self._host, self._outbox, self._products, self._may_probe = host, outbox, products, may_probe
         self._cold_time, self._cold_from = guarantee.cold_time, guarantee.cold_from
-        self.servers: dict[Server, None] = {}
-        self.jammed = True  # until reports tell
-        self._holds: dict[Server, bool] = {}  # withdrawals and releases still to be told
+        self.servers, self.jammed = dict[Server, None](), True  # until reports tell
+        self._holds = dict[Server, bool]()  # withdrawals and releases still to be told
 
     def listing(self, event: Listing[Server]) -> None:
         if event.kind is not ListKind.CHANGES:
@@ -125,8 +124,7 @@
             for absent in [server for server in self.servers if server not in named]:
                 self._turn(absent, Sign.LEAVING)
         for entry in event.entries:
-            server = entry.worker
-            self.servers[server] = None
+            self.servers[server := entry.worker] = None
             if entry.availability is Availability.READY:
                 restarted = entry.started_at != server.started_at
                 server.size, server.started_at = max(entry.size, 1e-3), entry.started_at
@@ -162,9 +160,10 @@
 
     def _exclude(self, server: Server) -> None:
         # 4 s at first, shorter than most troubles last; doubled at a relapse, as failed trials cost txns.
-        relapse = self._host.now() < server.out_until + 30 * SECOND
-        server.out_for = min(30 * SECOND, (relapse and 2 * server.out_for) or 4 * SECOND)
-        server.out_until, server.good_probes = self._host.now() + server.out_for, 0
+        again = server.out_for * (self._host.now() < server.out_until + 30 * SECOND)
+        server.out_for = min(30 * SECOND, 2 * again or 4 * SECOND)
+        server.out_until = self._host.now() + server.out_for
+        server.good_probes = 0 if self._may_probe else 2  # without probes, time alone brings it back
 
     def _try_out(self, server: Server) -> None:
         server.forget(0.2, 9)  # a trial: weight enough to judge it by, and regained by a tenth a period
@@ -196,9 +195,10 @@
             by_tries = v >= 4 and v > 0.35 * n and voided - v < 0.1 * (many - n) and ratio < 1.5
             # No answer to probes nor to txns: under load probes wait in the queue, but txns still settle.
             by_probes = server.bad_probes >= 2 and server.zone in blamed and not server.seen(now, 2)[2]
-            if (by_tries or by_probes) and all(any(  # rule 1: never the last server of a product
-                    other is not server and other.may_run(product, other.zone)
-                    for other in self.in_service()) for product in self._products):
+            if (by_tries or by_probes) and all(any(  # rule 1: never the last one for a product of its zone
+                    other is not server and other.may_run(product, server.zone)
+                    for other in self.in_service()) for product in self._products
+                    if server.may_run(product, server.zone)):
                 self._turn(server, Sign.SICK)
                 continue
             # The companion: a tenth of weight lost a period while above the table's latency, and restored. As
@@ -254,7 +254,7 @@
         self._host, self._outbox, self._products, self._zones = host, outbox, products, zones
         self._departed: deque[tuple[int, list[float]]] = deque()
         self._told: dict[int, tuple[int, list[float]]] = {}
-        self.heard_of: tuple[float, float] = (0.0, 0.0)
+        self.heard_of = (0.0, 0.0)
         self.smoothed, self.now = dict.fromkeys(products, 0.0), dict.fromkeys(products, 0.0)
         # Each one's part; until heard, none for products tied to models, whose servers would be kept idle.
         self.mix = {p: (not p.models) / (sum(not q.models for q in products) or 1) for p in products}
@@ -508,7 +508,7 @@
         self._outbox = Outbox(host, channel)
         self._at_once = not channel.message_cap or (
             guarantee.drain_grace < self._outbox.beat + channel.longest_way)
-        self._fleet = Fleet(host, self._outbox, products, guarantee)
+        self._fleet = Fleet(host, self._outbox, products, guarantee, may_probe)
         self._demand = Demand(host, self._outbox, products, zones)
         self._levels = Levels(host, self._outbox, self._fleet, self._demand, products)
         self._tables = Tables(host, self._outbox, self._fleet, self._demand, self._levels, products, zones,
@@ -546,8 +546,8 @@
         self._fleet.judge(self._demand)
         self._levels.period()
         self._act()
-        for server in self._fleet.servers if self._may_probe else ():
-            if server.standing is not Standing.LEFT:
+        for server in self._fleet.servers:
+            if self._may_probe and server.standing is not Standing.LEFT:
                 self._host.probe(server)
         if self._may_tell:
             self._host.tell(None, self._demand.word())
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -68,6 +68,24 @@
         host.hung.clear()
         self.assertIn((host.servers[1], False), host.named("hold_back", host.run(12)))
 
+    def test_where_probes_are_not_allowed_time_alone_brings_a_server_back(self) -> None:
+        host = FakeHost(may_probe=False)
+        host.join()
+        host.run(5)
+        host.void = {host.servers[1]: 0.9}
+        host.run(5)
+        host.void = {}
+        self.assertIn((host.servers[1], False), host.named("hold_back", host.run(8)))
+
+    def test_a_zone_keeps_its_last_server_of_a_product_that_may_not_cross(self) -> None:
+        host = FakeHost(products=(ASK, replace(PAY, home_only=True)))
+        host.join()
+        host.run(5)
+        far = [server for server in host.servers if server.zone == "b"]
+        host.hung.update(far)
+        host.run(12)
+        self.assertNotEqual({server for server, out in host.named("hold_back") if out}, set(far))
+
     def test_where_all_are_slow_and_void_none_is_sick(self) -> None:
         host = FakeHost()
         host.join()
