Tidy: probing in one place, one answer call in the adapter, no stray attribute

Whether probes are allowed stood in two parts, and the listed servers were gathered twice a beat; judge now sends the probes.

--- a/rushladder/benchlink/hosting.py
+++ b/rushladder/benchlink/hosting.py
@@ -63,11 +63,12 @@
         if event is not None:
             self.manager.take(event)
 
-    def replies(self, now: int) -> list[bytes]:
+    def answer(self, now: int, reply: list[bytes]) -> None:
+        """Adds the orders of the batch to the reply."""
         self._now = now
         self.manager.close()
-        orders, self._orders = self._orders, []
-        return orders
+        reply.extend(self._orders)
+        self._orders.clear()
 
     def _product(self, name: str) -> Product:
         if name not in self._products:
@@ -97,8 +98,8 @@
 
     def _probed(self, got: dict[str, Any], _: Pages) -> Event | None:
         server = self._servers.get(got["worker"])
-        return Probed(server, _member(ProbeResult, got["disposition"], "disposition"),
-                                 tenths(got["elapsed"]), got["report"]) if server else None
+        return Probed(server, _member(ProbeResult, got["disposition"], "disposition"), tenths(got["elapsed"]),
+                      got["report"]) if server else None
 
     def _peer_word(self, got: dict[str, Any], _: Pages) -> Event:
         return PeerWord(got["author"], got["data"])
@@ -119,7 +120,7 @@
     def _tries(self, got: dict[str, Any], _: Pages) -> Event | None:
         server = self._servers.get(got["worker"])
         return Tries(server, got["dc"], got["many"], got["failed"], tenths(got["covers"]),
-                                tenths(got["elapsed"]), got["report"]) if server else None
+                     tenths(got["elapsed"]), got["report"]) if server else None
 
     def _arrivals(self, got: dict[str, Any], _: Pages) -> Event | None:
         gateway, product = self._gateways.get(got["proxy"]), self._product(got["band"])
@@ -293,14 +294,11 @@
             where = f"{at.tb_frame.f_code.co_name} line {at.tb_lineno}" if at is not None else "?"
             self._failed[number] = f"{type(trouble).__name__} in {where}: {trouble}"
 
-    def _collect(self, instance: Instance, reply: list[bytes]) -> None:
-        reply.extend(instance.replies(self._now))
-
     def _answer(self, number: int) -> None:
         reply: list[bytes] = []
         for touched in self._touched:
             if touched not in self._failed:
-                self._guarded(touched, partial(self._collect, self._instances[touched], reply))
+                self._guarded(touched, partial(self._instances[touched].answer, self._now, reply))
             if touched in self._failed:
                 reply.append(message("BailOut", manager_id=touched, words=self._failed[touched]))
         self._touched.clear()
--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -169,7 +169,7 @@
         server.forget(0.2, 9)  # a trial: weight enough to judge it by, and regained by a tenth a period
 
     def judge(self, demand: Demand) -> None:
-        """Health, by comparison only: where all are slow or void, none is sick."""
+        """Health, by comparison only: where all are slow or void, none is sick. Sends the next probes too."""
         now = self._host.now()
         for server in self.servers:
             # Two answers in a row: one may be luck where a server drops most of what it gets.
@@ -186,6 +186,8 @@
         # Probes blame a server while half its zone answers, or a whole zone, cut off, while another does.
         # In a jam they fail everywhere: blaming one after the other would push over the rest.
         listed = [server for server in self.servers if server.standing is not Standing.LEFT]
+        for server in listed if self._may_probe else ():
+            self._host.probe(server)
         good = {zone: fmean(not s.bad_probes for s in listed if s.zone == zone)
                 for zone in dict.fromkeys(s.zone for s in listed)}
         blamed = [zone for zone in good if good[zone] >= 0.5 or (not good[zone] and max(good.values()) > 0.7)]
@@ -503,8 +505,7 @@
                  products: Sequence[Product], channel: Channel, guarantee: Guarantee, level_unit: LevelUnit,
                  asks_list: bool, may_tell: bool, slices: int) -> None:
         self._host, self._draw, self._products = host, Random(seed).random, products
-        self._may_probe, self._may_tell = may_probe, may_tell and managers > 1
-        self._ask_within, self._failures = guarantee.ask_within, 0
+        self._may_tell, self._ask_within, self._failures = may_tell and managers > 1, guarantee.ask_within, 0
         self._outbox = Outbox(host, channel)
         self._at_once = not channel.message_cap or (
             guarantee.drain_grace < self._outbox.beat + channel.longest_way)
@@ -524,12 +525,13 @@
             if asks_list:
                 host.watch(True)
 
-        self.close = self._outbox.close
-
     def take(self, event: Event) -> None:
         if type(event) in self._handlers:
             self._handlers[type(event)](event)
 
+    def close(self) -> None:
+        self._outbox.close()
+
     def _listing(self, event: Listing[Server]) -> None:
         self._failures = self._failures + 1 if event.kind is ListKind.FAILED else 0
         if not self._failures:
@@ -546,9 +548,6 @@
         self._fleet.judge(self._demand)
         self._levels.period()
         self._act()
-        for server in self._fleet.servers:
-            if self._may_probe and server.standing is not Standing.LEFT:
-                self._host.probe(server)
         if self._may_tell:
             self._host.tell(None, self._demand.word())
         return self._host.wake(self._outbox.beat, self.BEAT)
