--- a/rushladder/interface.py
+++ b/rushladder/interface.py
@@ -84,6 +84,12 @@
     models: frozenset[str] = frozenset()  # the only machine models it may go to; empty: any
     zones: frozenset[str] = frozenset()  # the only zones it may go to; empty: any
 
+    def open_to(self, worker: Worker, zone: str) -> bool:
+        """Whether it may go there from a proxy of that zone."""
+        return ((not self.models or worker.model in self.models)
+                and (not self.zones or worker.zone in self.zones)
+                and (not self.home_only or worker.zone == zone))
+
 
 @dataclass(eq=False)
 class Worker:
