Small fleets get their weights back: half the pace for moves, lines cut at a hundredth, joins in 30 ms

Concluded: with teams of a dozen an even line is far from a hundredth, so the small cut serves both sizes.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -316,7 +316,7 @@
     def _ease(self) -> None:
         # From the budget in force, as what was let in is heard late and thinned. Fast up to what the servers
         # last did less the reserve, then slowly, as the limit must be near.
-        most = 1.4 if self._budget < 0.9 * self._best else 1.05
+        most = 1.25 if self._budget < 0.9 * self._best else 1.05
         self._share(most * max(self._budget, self._settled))
 
     def _share(self, budget: float) -> None:
@@ -371,7 +371,7 @@
     def join(self) -> None:
         """Binds who has joined, as the channel drains: a fleet that joins at once would fill it (rule 5). Who
         joins together is planned for together: a table made for the first of them fits none."""
-        ready = self._host.now() - SECOND // 10
+        ready = self._host.now() - SECOND // 32
         for gateway in [g for g in self._outbox.gateways if not g.tables and g.joined_at <= ready]:
             key = gateway.zone, gateway.team
             if key not in self._tables or not self._tables[key][0].gateways:
@@ -434,10 +434,10 @@
         for table in tables:
             for least in (1, 0):  # where none has room, whatever is warm, or else whatever there is
                 self._pour(table, [server for server in may[table] if ramp(server) >= least], dict(capacity))
-            # A line under a tenth of the even one costs a connection and carries nothing.
+            # A line under a hundredth of its table costs a connection and carries nothing.
             total = sum(table.wanted.values())
             table.wanted = {s: 100 * part / total for s, part in table.wanted.items()
-                            if part * len(table.wanted) > 0.1 * total}
+                            if part > 0.01 * total}
 
     @staticmethod
     def _pour(table: Table, servers: Sequence[Server], room: dict[Server, float]) -> None:
@@ -449,7 +449,7 @@
 
     def _send(self) -> None:
         """Levels first; then weights table by table, those of cold servers (rule 4) and the greatest moves
-        first, for a fifth of the channel's pace: what small moves gain, they cost in orders and lag."""
+        first, for half of the channel's pace: what small moves gain, they cost in orders and lag."""
         turns, ramp = list[tuple[bool, float, Table, list[Server]]](), self._fleet.ramp
         for table in [table for tables in self._tables.values() for table in tables]:
             for product in table.products:
@@ -470,7 +470,7 @@
                           key=ramp)
             cold = any(ramp(server) < 1 for server in some)
             turns.append((cold, sum(abs(moves[s]) for s in some if not s.held), table, some))
-        self._debt = max(0.0, self._debt - 0.2 * self._outbox.pace * (self._host.now() - self._paid))
+        self._debt = max(0.0, self._debt - 0.5 * self._outbox.pace * (self._host.now() - self._paid))
         self._paid, queued = self._host.now(), self._outbox.lines.waiting
         for cold, _, table, some in sorted(turns, key=lambda turn: turn[:2], reverse=True):
             for server in some if cold or not self._debt else ():
@@ -557,7 +557,7 @@
         self._tables.assign(gateway)
         self._outbox.gateways[gateway] = None
         self._fleet.reached(gateway.zone)
-        self._host.wake(SECOND // 10, self.BIND)  # by then those that join together have joined
+        self._host.wake(SECOND // 32, self.BIND)  # by then those that join together have joined
 
     def _left(self, event: Left[Gateway]) -> None:
         if event.proxy in self._outbox.gateways:
