Rolling releases at full size: joins first, empty tables and cold servers next; short spills

Cause, by a log of lines ordered: small moves filled the channel to its limit, so that joiners waited 6 s to be bound; tables lost most lines and were not refilled; spills gave every table a line to every server.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -28,11 +28,9 @@
 
 
 class Server(Worker):
-    """A worker with what this manager has seen of it."""
-
     def __init__(self, name: str, zone: str, model: str, cell: int) -> None:
         super().__init__(name, zone, model, cell)
-        self.size, self.standing, self.held = 1.0, Standing.LEFT, False  # held: so proxies were told
+        self.size, self.standing, self.told = 1.0, Standing.LEFT, Standing.SERVING  # told: to the proxies
         self.place = self.started_at = self.out_until = self.out_for = 0  # place: among its kind in its zone
         self.forget()
 
@@ -50,8 +48,6 @@
 
 
 class Gateway(Proxy):
-    """A proxy with what this manager sent it and heard of it."""
-
     def begin(self, now: int, products: Sequence[Product]) -> None:
         self.joined_at, self.team, self.tables = now, 0, list[Table]()
         self.came = {product: Ring(SECOND, 12, 2) for product in products}  # many, time covered
@@ -68,15 +64,16 @@
         self.at_once = not channel.message_cap or grace < self.beat + channel.longest_way
         # Half the limit, as what can't be put off fits twice (rule 5), and no more than lets a withdrawal
         # behind it arrive within the grace (rule 3). What is on its way to the proxies waits no more.
-        spare = max(0, grace - channel.longest_way - (0 if self.at_once else self.beat))
-        self._most = min(0.5 * channel.pending_max, spare * self.pace) + channel.usual_way * self.pace
+        self._most = channel.usual_way * self.pace + min(0.5 * channel.pending_max, self.pace * max(
+            0, grace - channel.longest_way - (0 if self.at_once else self.beat)))
 
     def joined(self, zone: str) -> list[Gateway]:
         return [gateway for gateway in self.gateways if gateway.zone == zone]
 
-    def has_room(self, gateways: Collection[Gateway], count: float = 1) -> bool:
+    def has_room(self, gateways: Collection[Gateway], count: float = 1, part: float = 1.0) -> bool:
         """Whether `count` lines to each may be sent. Lines drain when a proxy says it applied them."""
-        return not self.lines.waiting or self.lines.waiting + self.lines.price(gateways, count) <= self._most
+        waiting = self.lines.waiting + self.lines.price(gateways, count)
+        return not self.lines.waiting or waiting <= part * self._most
 
     def left(self, gateway: Gateway) -> None:
         self.lines.left(gateway)
@@ -181,7 +178,6 @@
             server.bad_probes = (not good) * (server.bad_probes + 1)
 
     def reached(self, zone: str) -> None:
-        """A proxy that joins from a zone withdrawn as cut off can use its servers at once."""
         home = [server for server in self.servers if server.zone == zone]
         for server in home if all(server.standing is not Standing.SERVING for server in home) else ():
             self._turn(server, Sign.REACHED)
@@ -243,16 +239,14 @@
             self.mix = {product: rate / total for product, rate in self.smoothed.items()}
 
     def word(self) -> bytes:
-        """For peers: tries settled, their time, and own demand by zone and product."""
         return struct.pack(self._word, *self.heard_of, *self.own().values())
 
     def heard(self, event: PeerWord) -> None:
         if len(event.data) == struct.calcsize(self._word):
             self._told[event.peer] = self._host.now(), struct.unpack(self._word, event.data)
 
-    def told(self) -> list[tuple[float, ...]]:
-        gone = self._host.now() - 3 * SECOND  # three words missed in a row
-        return [rates for at, rates in self._told.values() if at > gone]
+    def told(self) -> list[tuple[float, ...]]:  # a peer is gone once three words are missed
+        return [rates for at, rates in self._told.values() if at > self._host.now() - 3 * SECOND]
 
     def own(self) -> dict[tuple[str, Product], float]:
         return {(zone, product): sum(self.rate(gateway, product) for gateway in self._outbox.joined(zone))
@@ -271,7 +265,6 @@
         self._plain = self._latency = self._quiet = self._bar = self._held = self._best = 0.0
 
     def period(self) -> None:
-        """A fresh manager lets all in for the design's one period: no report has come by its first."""
         self._demand.period()
         self._load, effect = LOADS[self._load, self._heat()]  # state, input, next state, effect
         effect(self)
@@ -294,9 +287,8 @@
         self._plain = median_high([sums[3] / sums[2] for sums in seen if sums[2]] or [0.0])
         # Led by its change where it nears the bar, as reports come a beat or two late; below, that is noise.
         self._latency = self._plain + (self._plain - before) * (self._plain > 0.75 * self._bar)
-        sla = sum(product.sla_time * part for product, part in self._demand.mix.items())
         # Twice the quiet average, yet at least 0.35 of the SLA time: below that hardly a txn is late.
-        self._bar = max(2 * self._quiet, 0.35 * sla)
+        self._bar = max(2 * self._quiet, 0.35 * sum(p.sla_time * m for p, m in self._demand.mix.items()))
         held = fmean([sums[4] * sums[3] / sums[2] for sums in seen if sums[2]] or [0.0])
         if self._load is Load.CALM and self._latency < self._bar:
             self._quiet += (0.05 if self._quiet else 1.0) * (self._plain - self._quiet)
@@ -343,9 +335,8 @@
 
     def __init__(self, number: int, zone: str, team: int, products: Sequence[Product]) -> None:
         self.number, self.zone, self.team, self.products = number, zone, team, products
-        self.gateways: dict[Gateway, None] = {}
+        self.gateways, self.gates = dict[Gateway, None](), dict[Product, float]()
         self.want, self.wanted, self.lines = 0.0, dict[Server, float](), dict[Server, float]()
-        self.gates: dict[Product, float] = {}
 
 
 class Tables:
@@ -354,7 +345,7 @@
     def __init__(self, host: Host, outbox: Outbox, fleet: Fleet, demand: Demand, levels: Levels,
                  products: Sequence[Product], zones: Sequence[str], unit: LevelUnit) -> None:
         self._host, self._outbox, self._fleet, self._demand = host, outbox, fleet, demand
-        self._levels, self._unit, self._zones, self._warned = levels, unit, zones, 0
+        self._levels, self._unit, self._zones = levels, unit, zones
         self._tables, self._debt, self._paid = dict[tuple[str, int], list[Table]](), 0.0, 0
         eligible = [(product.models, product.zones, product.home_only) for product in products]
         self._groups = [[product for product, other in zip(products, eligible, strict=True) if other == kind]
@@ -374,7 +365,7 @@
         ready = self._host.now() - SECOND // 32
         for gateway in [g for g in self._outbox.gateways if not g.tables and g.joined_at <= ready]:
             key = gateway.zone, gateway.team
-            if key not in self._tables or not self._tables[key][0].gateways:
+            if key not in self._tables or (not self._tables[key][0].gateways and self._paid < ready):
                 self.refresh()  # not planned of late: it could bind a joiner to no line (rule 1)
             cost = sum(1 + len(table.lines) + len(table.gates) for table in self._tables[key])
             if self._outbox.has_room([gateway], cost):
@@ -393,19 +384,16 @@
         self._send()
 
     def _withdraw(self) -> None:
-        # Old tables of joiners not yet bound may name servers that left (rule 3). Warned once, there is room.
-        before, self._warned = self._warned, self._host.now() - SECOND // 2
-        late = any(not g.tables and before <= g.joined_at < self._warned for g in self._outbox.gateways)
-        for server in self._fleet.servers:
-            out, left = server.standing is not Standing.SERVING, server.standing is Standing.LEFT
-            if out != server.held or (left and late):
-                holders = [gateway for gateway in self._outbox.gateways if not gateway.tables
-                           or any(server in table.lines for table in gateway.tables)]
-                # A sick one waits for room, a release also for that of its weight's lines (rule 4).
-                if left or self._outbox.has_room(holders, 1 if out else 3):
-                    self._host.hold_back(server, out)
-                    self._outbox.lines.add(holders)
-                    server.held = out
+        # A joiner heeds these withdrawals once it is bound, so binding goes before what can wait (rule 3).
+        for server in [server for server in self._fleet.servers if server.standing is not server.told]:
+            holders = [gateway for gateway in self._outbox.gateways
+                       if any(server in table.lines for table in gateway.tables)]
+            # A sick one waits for room too, a release also for that of its weight's lines (rule 4).
+            urgent = server.standing is Standing.LEFT and server.told is Standing.SERVING
+            if urgent or self._outbox.has_room(holders, 3 if server.standing is Standing.SERVING else 1, 0.6):
+                self._host.hold_back(server, server.standing is not Standing.SERVING)
+                self._outbox.lines.add(holders)
+                server.told = server.standing
 
     def _plan(self) -> None:
         """Home first: a team's demand goes to its own servers up to even use, then its zone's, then far."""
@@ -430,14 +418,20 @@
         for near in (lambda t, s: s.zone == t.zone and s.place % teams[s.zone] == t.team,
                      lambda t, s: s.zone == t.zone, lambda t, s: True):
             for table in tables:
-                self._pour(table, [server for server in may[table] if near(table, server)], room)
+                # What spills goes to as few as have room for it, first those that have a line.
+                some = sorted((s for s in may[table] if near(table, s)), key=lambda s: s not in table.lines)
+                for each in [some] if not table.wanted else [[server] for server in some]:
+                    self._pour(table, each, room)
         for table in tables:
-            for least in (1, 0):  # where none has room, whatever is warm, or else whatever there is
+            for least in (1, 0):  # where none has room, what is warm, or else whatever there is
                 self._pour(table, [server for server in may[table] if ramp(server) >= least], dict(capacity))
             # A line under a hundredth of its table costs a connection and carries nothing.
             total = sum(table.wanted.values())
-            table.wanted = {s: 100 * part / total for s, part in table.wanted.items()
-                            if part > 0.01 * total}
+            table.wanted = {s: 100 * part / total for s, part in table.wanted.items() if part > 0.01 * total}
+            # In the scale of the lines that stay, so that these need no change where others come or go.
+            stay = [(table.lines[s], part) for s, part in table.wanted.items() if s in table.lines]
+            scale = sum(line for line, _ in stay) / sum(part for _, part in stay) if stay else 1.0
+            table.wanted = {server: scale * part for server, part in table.wanted.items()}
 
     @staticmethod
     def _pour(table: Table, servers: Sequence[Server], room: dict[Server, float]) -> None:
@@ -450,7 +444,7 @@
     def _send(self) -> None:
         """Levels first; then weights table by table, those of cold servers (rule 4) and the greatest moves
         first, for half of the channel's pace: what small moves gain, they cost in orders and lag."""
-        turns, ramp = list[tuple[bool, float, Table, list[Server]]](), self._fleet.ramp
+        turns, ramp = list[tuple[float, float, Table, list[Server]]](), self._fleet.ramp
         for table in [table for tables in self._tables.values() for table in tables]:
             for product in table.products:
                 figure, before = self._figure(table, product), table.gates.get(product, 0.0)
@@ -465,16 +459,21 @@
             # plan changes nothing; the last lines stay until there are others.
             moves = {server: table.wanted.get(server, 0.0) - table.lines.get(server, 0.0)
                      for server in {**table.lines, **table.wanted} if table.wanted}
+            whole = sum(table.wanted.values())
             some = sorted((server for server, move in moves.items() if (move < 0 and ramp(server) < 1)
-                           or abs(move) > 0.1 * max(table.lines.get(server, 0.0), 100 / len(table.wanted))),
-                          key=ramp)
-            cold = any(ramp(server) < 1 for server in some)
-            turns.append((cold, sum(abs(moves[s]) for s in some if not s.held), table, some))
+                           or abs(move) > 0.1 * max(table.lines.get(server, 0.0), whole / len(table.wanted))),
+                          key=lambda s: (s.told is not Standing.SERVING, ramp(s)))
+            # Where most of a table left, the rest gets all, which pushes a cold server over (rule 4).
+            rest = {s: part for s, part in table.lines.items() if s.told is Standing.SERVING}
+            cold = any(ramp(server) < 1 for server in (*some, *rest))
+            urgent = 0.7 * (cold or whole > 2 * sum(rest.values())) if rest else 1.0
+            turns.append((urgent, sum(abs(moves[s]) for s in some) / max(1e-9, whole), table, some))
         self._debt = max(0.0, self._debt - 0.5 * self._outbox.pace * (self._host.now() - self._paid))
         self._paid, queued = self._host.now(), self._outbox.lines.waiting
-        for cold, _, table, some in sorted(turns, key=lambda turn: turn[:2], reverse=True):
-            for server in some if cold or not self._debt else ():
-                if self._outbox.has_room(table.gateways):
+        for urgent, _, table, some in sorted(turns, key=lambda turn: turn[:2], reverse=True):
+            for server in some if urgent or not self._debt else ():
+                # Room is kept for joins and tables without a line (rules 1, 3), then for cold ones (rule 4).
+                if self._outbox.has_room(table.gateways, 1, urgent or 0.4):
                     table.lines[server] = table.wanted.get(server, 0.0)
                     self._host.weigh(table.number, server, round(table.lines[server], 3))
                     self._outbox.lines.add(table.gateways)
@@ -512,8 +511,7 @@
         self._handlers: dict[type, Callable[..., None]] = {} if slices else {
             Listing: self._listing, Reminder: self._reminder, Probed: self._fleet.probed,
             PeerWord: self._demand.heard, Joined: self._joined, Left: self._left, Tries: self._fleet.tries,
-            Arrivals: self._demand.arrivals, Applied: self._outbox.lines.applied,
-        }
+            Arrivals: self._demand.arrivals, Applied: self._outbox.lines.applied}
         if not slices:  # tables of slices are not this module's yet: it stays silent
             # Managers started together beat apart, so that their orders do not land all at once.
             host.wake(1 + int(self._draw() * self._outbox.beat), self.BEAT)
@@ -556,7 +554,7 @@
         gateway.begin(self._host.now(), self._products)
         self._tables.assign(gateway)
         self._outbox.gateways[gateway] = None
-        self._fleet.reached(gateway.zone)
+        self._fleet.reached(gateway.zone)  # a zone withdrawn as cut off serves its own proxies at once
         self._host.wake(SECOND // 32, self.BIND)  # by then those that join together have joined
 
     def _left(self, event: Left[Gateway]) -> None:
