Runtime socket grammar and endpoints; line-based configuration with placed faults

Cause: the operators ask for a running manager that speaks a runtime API in the manner of HAProxy's socket.

--- /dev/null
+++ b/rushladder/conf/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration: text in, checked objects out, every fault with its place."""
--- /dev/null
+++ b/rushladder/conf/objects.py
@@ -0,0 +1,100 @@
+"""What a configuration describes: one frozen object for each section, ids already turned into objects."""
+
+from __future__ import annotations
+
+import attrs
+
+from rushladder.conf.grammar import Address
+from rushladder.interface import Channel, Guarantee, LevelUnit, Product
+from rushladder.runtime.endpoint import Level
+
+
+@attrs.frozen
+class LogForm:
+    """How the log is written: `json` or `console`, and the least level."""
+
+    form: str = "json"
+    level: str = "info"
+
+
+@attrs.frozen
+class Identity:
+    """Who this manager is: its name, its number among all managers in the order of their names, its
+    region."""
+
+    name: str
+    number: int
+    region: str
+    seed: int
+
+
+@attrs.frozen
+class GatewaySite:
+    """Where a gateway's runtime socket is, and what usually comes to it (txns a second)."""
+
+    name: str
+    region: str
+    address: Address
+    usual_rate: float
+
+
+@attrs.frozen
+class CollectorSite:
+    """A collector as first listed."""
+
+    name: str
+    region: str
+    model: str
+    size: float
+    address: Address
+    cell: int = 0
+
+
+@attrs.frozen
+class PeerSite:
+    name: str
+    number: int
+    address: Address
+
+
+@attrs.frozen
+class Listener:
+    """A socket of the manager's own: the runtime API at a level, or where peers' words arrive."""
+
+    name: str
+    address: Address
+    level: Level
+
+
+@attrs.frozen
+class Holding:
+    """The times of holding a gateway, in tenths of a millisecond.
+
+    poll: between two readings of a gateway; takeover: silence of a holder after which another claims;
+    patience: for one answer of a gateway.
+    """
+
+    poll: int = 10_000
+    takeover: int = 40_000
+    patience: int = 20_000
+
+
+@attrs.frozen
+class Plan:
+    """A whole configuration."""
+
+    log: LogForm
+    identity: Identity
+    regions: tuple[str, ...]
+    products: tuple[Product, ...]
+    channel: Channel
+    guarantee: Guarantee
+    level_unit: LevelUnit
+    may_probe: bool
+    holding: Holding
+    list_file: str
+    gateways: tuple[GatewaySite, ...]
+    collectors: tuple[CollectorSite, ...]
+    peers: tuple[PeerSite, ...]
+    peer_listener: Address | None
+    listeners: tuple[Listener, ...]
--- /dev/null
+++ b/rushladder/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The runtime socket's grammar, both sides, after HAProxy's public management guide (section 9.3)."""
