Gateways: weight rounding, holding, metering and differences; core host of the module

Cause: the manager needs what a plain proxy's socket does not decide: whole weights, who holds a gateway, what sums mean between polls, and commands in an order that is safe at each step. Change: pure modules for each, and a core that turns the module's orders into what each gateway should hold.

--- /dev/null
+++ b/rushladder/core/host.py
@@ -0,0 +1,359 @@
+"""The host of one decision module: its orders become what each gateway should hold.
+
+Events go in with `take`, the module answers with orders, and orders change shared tables, withdrawals and
+levels. A gateway that uses a changed table is noted as owed; its driver asks `message` for the commands
+between what it holds and what it should hold, and tells `answered` when they were carried out. Orders that
+follow each other before a message goes out fall together, so what waits is bounded by what can be wanted,
+not by how often it changed.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Mapping, Sequence
+from itertools import count
+from typing import Any
+
+import attrs
+
+from rushladder.brain import Gateway, Manager, Server
+from rushladder.core.pace import Pace
+from rushladder.core.roster import Roster
+from rushladder.gateways.difference import Admin, Held, Key, Line, server_commands
+from rushladder.gateways.rounding import round_pool
+from rushladder.interface import (
+    Applied,
+    Channel,
+    Event,
+    Guarantee,
+    LevelUnit,
+    Listing,
+    ListKind,
+    Product,
+    Proxy,
+    Reminder,
+    Retry,
+    Worker,
+)
+from rushladder.runtime.grammar import Command
+
+LEVELS_MAP, RETRIES_MAP = "levels", "retries"
+PER_MILLE = 1000  # levels as a plain proxy compares them with a whole random number
+
+
+class Tbl:
+    """One shared table as ordered, and the whole weights its gateways get; rounded once for all of them."""
+
+    def __init__(self) -> None:
+        self.lines = dict[Server, float]()
+        self.gates = dict[Product, tuple[float, Retry]]()
+        self.ports = dict[Port, None]()
+        self._rounded, self._scale, self._stale = dict[Server, int](), 0.0, True
+
+    def weigh(self, server: Server, weight: float) -> None:
+        self._stale = True
+        if weight > 0:
+            self.lines[server] = weight
+        else:
+            self.lines.pop(server, None)
+
+    def rounded(self, ramp: Callable[[Server], float]) -> dict[Server, int]:
+        if self._stale:
+            cold = {server for server in self.lines if ramp(server) < 1}
+            self._rounded, self._scale = round_pool(self.lines, cold, self._scale)
+            self._stale = False
+        return self._rounded
+
+
+class Port:
+    """One joined gateway: which tables it uses, what it holds, what it is owed, what is on its way."""
+
+    def __init__(self, gateway: Gateway, held: Held, pace: Pace) -> None:
+        self.gateway, self.held, self._pace = gateway, held, pace
+        self.tables = dict[Product, Tbl]()
+        self.owed, self.owed_lines, self.urgent = dict[Product, None](), 0, False
+        self.gates_owed = False
+        self.marks, self.sent_marks = list[int](), list[int]()
+        self.sent_lines, self.sent_at = 0, 0
+        self.messages = 0
+
+    def owe(self, product: Product, urgent: bool = False) -> None:
+        self.owed[product] = None
+        self.owed_lines += 1
+        self.urgent = self.urgent or urgent
+
+    def due(self, now: int) -> int | None:
+        """When the next message may go, or None if nothing is owed or one is on its way."""
+        if self.sent_at or not (self.owed or self.gates_owed or self.marks):
+            return None
+        return self._pace.next(now, self.urgent)
+
+    def went(self, now: int, lines: int) -> None:
+        if lines:
+            self._pace.sent(now)
+            self.messages += 1
+
+
+@attrs.frozen
+class Message:
+    """What one gateway is sent next: server commands in a safe order, and the maps' whole new content."""
+
+    commands: tuple[Command, ...]
+    maps: Mapping[str, Mapping[str, str]]
+
+
+class Core:
+    """One manager without its sockets. `now` of every call is its clock, in tenths of a millisecond."""
+
+    def __init__(
+        self,
+        seed: int,
+        roster: Roster,
+        *,
+        managers: int,
+        zones: Sequence[str],
+        products: Sequence[Product],
+        channel: Channel,
+        guarantee: Guarantee,
+        level_unit: LevelUnit,
+        may_probe: bool,
+        now: int,
+    ) -> None:
+        self._now, self.roster, self.products, self._channel = now, roster, products, channel
+        self._unit, self._cold_time = level_unit, guarantee.cold_time
+        self._tables, self.withdrawn = dict[int, Tbl](), dict[Server, None]()
+        self.ports = dict[Gateway, Port]()
+        self._touched = dict[Port, None]()
+        self._wakes, self._order = list[tuple[int, int, int]](), count()
+        self.probes, self.words, self.notes = list[Server](), list[bytes](), list[str]()
+        self.applied_in = list[int]()  # order-to-applied times since they were last taken
+        self.manager = Manager(
+            self,
+            seed,
+            managers=managers,
+            zones=tuple(zones),
+            may_probe=may_probe,
+            products=tuple(products),
+            channel=channel,
+            guarantee=guarantee,
+            level_unit=level_unit,
+            asks_list=False,
+            may_tell=managers > 1,
+            slices=0,
+        )
+        self.take(now, roster.full(ListKind.CACHED))
+
+    # What comes in.
+
+    def take(self, now: int, *events: Event) -> None:
+        """One batch of events; whatever reminders are due by `now` come first."""
+        self._now = max(now, self._now)
+        while self._wakes and self._wakes[0][0] <= self._now:
+            self.manager.take(Reminder(heapq.heappop(self._wakes)[2]))
+        for event in events:
+            self.manager.take(event)
+            if isinstance(event, Listing):
+                self._listing(event)
+        self.manager.close()
+        self._touched.clear()
+
+    def next_wake(self) -> int | None:
+        return self._wakes[0][0] if self._wakes else None
+
+    def joined(self, gateway: Gateway, held: Held) -> Port:
+        """A gateway that this manager holds from now on; the caller gives the module its Joined with
+        `take`."""
+        self.left(gateway)
+        port = Port(gateway, held, Pace(self._channel.message_cap, self._channel.cap_span))
+        self.ports[gateway] = port
+        return port
+
+    def left(self, gateway: Gateway) -> None:
+        port = self.ports.pop(gateway, None)
+        if port is not None:
+            self._touched.pop(port, None)
+            for tbl in port.tables.values():
+                tbl.ports.pop(port, None)
+
+    def read_back(self, port: Port, held: Held) -> None:
+        """What the gateway really holds: all of it is owed again, as far as it differs."""
+        port.held = held
+        port.sent_at, port.sent_lines = 0, 0
+        port.marks, port.sent_marks = port.sent_marks + port.marks, []
+        for product in port.tables:
+            port.owe(product)
+        port.gates_owed = bool(port.tables)
+
+    def _listing(self, event: Listing[Any]) -> None:
+        known = {entry.worker for entry in event.entries}
+        for server in [
+            server
+            for server in self.withdrawn
+            if server not in known and server.name not in self.roster.listed
+        ]:
+            if not any(server in tbl.lines for tbl in self._tables.values()):
+                del self.withdrawn[server]  # off the list and in no table: nothing is left to withdraw
+
+    # What goes out.
+
+    def ramp(self, server: Server) -> float:
+        """1 once a server is warm by the list; less before (only whether it is below 1 is used)."""
+        age = self._now - server.started_at
+        return 1.0 if not server.started_at or age >= self._cold_time else age / self._cold_time
+
+    def wanted(self, port: Port, product: Product) -> dict[Key, Line]:
+        """The lines that the gateway should hold for a product, with 0 for what it holds beyond its table."""
+        tbl = port.tables[product]
+        lines = dict[Key, Line]()
+        for server, weight in tbl.rounded(self.ramp).items():
+            listed = self.roster.listed.get(server.name)
+            if listed is not None and listed.server is server:
+                lines[product.name, server.name] = Line(
+                    listed.address, weight, Admin.DRAIN if server in self.withdrawn else Admin.READY
+                )
+        for (backend, name), line in port.held.lines.items():
+            if backend == product.name and (backend, name) not in lines:
+                known = self.roster.listed.get(name)
+                out = known is None or known.server in self.withdrawn
+                admin = Admin.DRAIN if out and line.admin is Admin.READY else line.admin
+                lines[backend, name] = Line(line.address, 0, admin)
+        return lines
+
+    def message(self, now: int, port: Port) -> Message:
+        """Takes what the gateway is owed. It is on its way until `answered` or `read_back`."""
+        self._now = max(now, self._now)
+        lines = dict[Key, Line]()
+        for product in port.owed:
+            lines |= self.wanted(port, product)
+        cold = {listed.server.name for listed in self.roster.listed.values() if self.ramp(listed.server) < 1}
+        commands = server_commands(port.held.lines, lines, cold)
+        maps = {
+            name: entries
+            for name, entries in self.maps(port).items()
+            if port.gates_owed and port.held.maps.get(name) != entries and entries
+        }
+        port.sent_marks, port.marks = port.marks, []
+        port.owed, port.gates_owed, port.urgent, port.owed_lines = {}, False, False, 0
+        port.sent_lines = len(commands) + sum(len(entries) + 2 for entries in maps.values())
+        port.sent_at = max(1, self._now)
+        port.went(now, port.sent_lines)
+        return Message(tuple(commands), maps)
+
+    def maps(self, port: Port) -> dict[str, dict[str, str]]:
+        levels, retries = dict[str, str](), dict[str, str]()
+        for product, tbl in port.tables.items():
+            if product in tbl.gates:
+                level, retry = tbl.gates[product]
+                levels[product.name] = self.level_text(level)
+                retries[product.name] = str(int(retry))
+        return {LEVELS_MAP: levels, RETRIES_MAP: retries}
+
+    def level_text(self, level: float) -> str:
+        """A level as the map holds it: per mille, or txns a second with up to three decimals."""
+        return str(round(PER_MILLE * level)) if self._unit is not LevelUnit.RATE else f"{level:.3f}"
+
+    def answered(self, now: int, port: Port) -> None:
+        """The message on its way was carried out. The module hears of its marks with the next batch."""
+        elapsed = max(0, now - port.sent_at)
+        if port.sent_lines:
+            self.applied_in.append(elapsed)
+            del self.applied_in[:-1000]  # enough for percentiles of a minute
+        marks, port.sent_marks, port.sent_lines, port.sent_at = port.sent_marks, [], 0, 0
+        if marks:
+            self.take(now, *(Applied(port.gateway, mark, elapsed) for mark in marks))
+
+    def waiting(self) -> tuple[int, int]:
+        """Lines ordered and not sent, and lines sent and not answered, over all gateways."""
+        ports = self.ports.values()
+        return sum(port.owed_lines for port in ports), sum(port.sent_lines for port in ports)
+
+    # The module's orders.
+
+    def _owe(self, tbl: Tbl, products: Sequence[Product] | None = None, urgent: bool = False) -> None:
+        for port in tbl.ports:
+            self._touched[port] = None
+            for product, own in port.tables.items():
+                if own is tbl and (products is None or product in products):
+                    port.owe(product, urgent)
+
+    def _table(self, number: int) -> Tbl:
+        return self._tables.setdefault(number, Tbl())
+
+    def now(self) -> int:
+        return self._now
+
+    def weigh(self, tbl: int, worker: Worker, weight: float) -> None:
+        assert isinstance(worker, Server)
+        table = self._table(tbl)
+        table.weigh(worker, weight)
+        self._owe(table)
+
+    def empty(self, tbl: int) -> None:
+        table = self._table(tbl)
+        for server in list(table.lines):
+            table.weigh(server, 0.0)
+        table.gates.clear()
+        self._owe(table)
+
+    def bind(self, proxy: Proxy, tbl: int, products: Sequence[Product]) -> None:
+        assert isinstance(proxy, Gateway)
+        port, table = self.ports.get(proxy), self._table(tbl)
+        if port is None:
+            return
+        self._touched[port] = None
+        for product in products or self.products:
+            before = port.tables.get(product)
+            port.tables[product] = table
+            if before is not None and before is not table and before not in port.tables.values():
+                before.ports.pop(port, None)
+            port.owe(product, urgent=True)
+        table.ports[port] = None
+        port.gates_owed = True
+
+    def hold_back(self, worker: Worker, out: bool) -> None:
+        assert isinstance(worker, Server)
+        if out:
+            self.withdrawn[worker] = None
+        else:
+            self.withdrawn.pop(worker, None)
+        for table in self._tables.values():
+            if worker in table.lines:
+                self._owe(table, urgent=out)
+        for port in self.ports.values() if out else ():
+            for product in port.tables:  # lines of an earlier holder's, not in its table any more
+                if (product.name, worker.name) in port.held.lines:
+                    self._touched[port] = None
+                    port.owe(product, urgent=True)
+
+    def gate(self, tbl: int | None, products: Sequence[Product], level: float, retry: Retry) -> None:
+        for table in self._tables.values() if tbl is None else (self._table(tbl),):
+            for product in products or self.products:
+                table.gates[product] = level, retry
+            for port in table.ports:
+                self._touched[port] = None
+                port.gates_owed = True
+                port.owed_lines += 1
+
+    def checkpoint(self, number: int, everyone: bool) -> None:
+        for port in self.ports.values() if everyone else self._touched:
+            port.marks.append(number)
+
+    def probe(self, worker: Worker) -> None:
+        assert isinstance(worker, Server)
+        self.probes.append(worker)
+
+    def tell(self, peer: int | None, data: bytes) -> None:
+        self.words.append(data)
+
+    def watch(self, on: bool) -> None:
+        """The list comes by itself here: every change is told at once."""
+
+    def ask_list(self) -> None:
+        """As for `watch`."""
+
+    def wake(self, after: int, token: int) -> None:
+        heapq.heappush(self._wakes, (self._now + max(1, after), next(self._order), token))
+
+    def log(self, words: str) -> None:
+        self.notes.append(words)
+        del self.notes[:-100]
--- /dev/null
+++ b/rushladder/core/reports.py
@@ -0,0 +1,57 @@
+"""Gathers what gateways met into the sums that the module is given, once a period."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from rushladder.brain import Gateway, Server
+from rushladder.gateways.meter import Met
+from rushladder.interface import Arrivals, Event, Product, Tries
+
+
+class Reports:
+    """Sums for each server and region of gateways since the last period. Bounded by servers times regions."""
+
+    def __init__(self) -> None:
+        self._sums = dict[tuple[Server, str], list[float]]()
+        self._came = dict[tuple[Gateway, Product], list[float]]()
+
+    def add(
+        self, gateway: Gateway, tries: Mapping[Server, Met], came: Mapping[Product, Met], span: int
+    ) -> None:
+        """What one gateway met in `span`; a span of 0 tells nothing."""
+        if span <= 0:
+            return
+        for server, met in tries.items():
+            sums = self._sums.setdefault((server, gateway.zone), [0.0] * 4)
+            for place, value in enumerate((met.many, met.voided, met.time, met.many / span)):
+                sums[place] += value
+        for product, met in came.items():
+            sums = self._came.setdefault((gateway, product), [0.0] * 3)
+            for place, value in enumerate((met.came, met.voided, span)):
+                sums[place] += value
+
+    def left(self, gateway: Gateway) -> None:
+        self._came = {key: sums for key, sums in self._came.items() if key[0] is not gateway}
+
+    def close(self) -> list[Event]:
+        """The period's events. Their time is such that many over time is the sum of the gateways' rates."""
+        events: list[Event] = []
+        for (server, zone), (many, voided, time, rate) in self._sums.items():
+            settled = many - voided
+            if rate:
+                events.append(
+                    Tries(
+                        server,
+                        zone,
+                        int(many),
+                        int(voided),
+                        max(1, round(many / rate)),
+                        round(time / settled) if settled else 0,
+                    )
+                )
+        for (gateway, product), (many, voided, span) in self._came.items():
+            events.append(Arrivals(gateway, product, int(many), int(voided), int(span)))
+        self._sums.clear()
+        self._came.clear()
+        return events
--- /dev/null
+++ b/rushladder/gateways/holding.py
@@ -0,0 +1,174 @@
+"""Who holds a gateway: one manager at a time, told by a word in a variable of the gateway's process.
+
+The word is `epoch/manager/region/beat`. A holder raises the beat at each reading; a manager that sees the
+beat stand still for the takeover time claims the gateway with the next epoch, waits until its claim has
+settled, and holds it once it reads its own word back. The highest epoch wins; a lower one that comes late
+is written over and what its author may have ordered is undone. Nothing is assumed of clocks but that each
+runs at its own even pace.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from enum import Enum
+
+import attrs
+
+
+@attrs.frozen
+class Word:
+    """What stands in the gateway's variable."""
+
+    epoch: int
+    manager: str
+    region: str
+    beat: int
+
+    def __str__(self) -> str:
+        return f"{self.epoch}/{self.manager}/{self.region}/{self.beat}"
+
+
+def read_word(text: str) -> Word | None:
+    """The word of a variable's text, or None where none (or none of ours) stands there."""
+    match = re.fullmatch(r"(\d{1,15})/([\w.:\-]{1,64})/([\w.:\-]{1,64})/(\d{1,15})", text)
+    return Word(int(match[1]), match[2], match[3], int(match[4])) if match else None
+
+
+class Stand(Enum):
+    AWAY = "no connection"
+    WATCHING = "another holds it, or nobody yet"
+    CLAIMING = "own claim written, not yet settled"
+    HOLDING = "held"
+
+
+class Sign(Enum):
+    LOST = "the connection broke"
+    FREE = "nobody's word stands there"
+    MINE = "the own word"
+    SETTLED = "the own word, long enough to be sure"
+    OTHERS = "another's word, alive and not to be challenged"
+    SILENT = "another's word that has stood still for the takeover time"
+    FOREIGN = "a manager of another region holds a gateway of the own"
+    STALE = "another's word of a lower epoch than the own"
+
+
+class Effect(Enum):
+    """What the caller has to do after a reading; in this order where it is several things."""
+
+    NONE = "nothing"
+    CLAIM = "write the own word"
+    BEGIN = "it is held from now on: read back and steer"
+    BEAT = "write the own word with its next beat"
+    REPAIR = "write the own word, and read back what it holds"
+    END = "it is lost: send nothing more"
+    END_CLAIM = "it is lost with all it held; write a claim"
+
+
+HOMING = 100_000  # 10 s: longer than a manager's start takes, so that a flapping one takes nothing back
+
+
+class Holding:
+    """One manager's view of one gateway.
+
+    takeover, settle and lease are in tenths of a millisecond; settle must exceed the holder's longest pause
+    between two readings, lease is the time for which the last reading of the own word allows sending.
+    """
+
+    def __init__(
+        self, manager: str, region: str, gateway_region: str, *, takeover: int, settle: int, lease: int
+    ) -> None:
+        self._manager, self._region, self._home = manager, region, region == gateway_region
+        self._gateway_region, self._takeover, self._settle, self._lease = (
+            gateway_region,
+            takeover,
+            settle,
+            lease,
+        )
+        self.stand, self.epoch, self._beat, self._highest = Stand.AWAY, 0, 0, 0
+        self._seen: Word | None = None
+        self._since = self._claimed = self._confirmed = self._watched = 0
+
+    def word(self) -> Word:
+        """The own word as it is to be written now."""
+        return Word(self.epoch, self._manager, self._region, self._beat)
+
+    def may_send(self, now: int) -> bool:
+        """Whether orders may go out: held, and seen to be so a short while ago."""
+        return self.stand is Stand.HOLDING and now <= self._confirmed + self._lease
+
+    def lost(self) -> Effect:
+        return self._turn(Sign.LOST, 0)
+
+    def read(self, word: Word | None, asked: int, now: int) -> Effect:
+        """A reading of the variable that was asked for at `asked` and came at `now`."""
+        if now - asked > self._lease:
+            return Effect.NONE  # the manager stood still meanwhile: what it read may be long gone
+        if self.stand is Stand.AWAY:
+            self.stand, self._seen, self._since, self._watched = Stand.WATCHING, word, now, now
+        if word != self._seen:
+            self._seen, self._since = word, now
+        self._highest = max(self._highest, word.epoch if word else 0)
+        sign = self._sign(word, now)
+        if sign in (Sign.MINE, Sign.SETTLED):
+            self._confirmed = asked
+        return self._turn(sign, now)
+
+    def _sign(self, word: Word | None, now: int) -> Sign:
+        still = now - self._since >= self._takeover
+        if word is None:
+            # One of another region leaves it to those of its own for a while.
+            return Sign.FREE if self._home or still or self.stand is not Stand.WATCHING else Sign.OTHERS
+        if word.manager == self._manager:
+            if self.stand is Stand.WATCHING or word.epoch != self.epoch:
+                return Sign.FREE  # of an earlier life of this manager: nobody else holds it
+            return Sign.SETTLED if now - self._claimed >= self._settle else Sign.MINE
+        if self.stand in (Stand.CLAIMING, Stand.HOLDING) and word.epoch < self.epoch:
+            return Sign.STALE
+        if still:
+            return Sign.SILENT
+        foreign = self._home and word.region != self._gateway_region and now - self._watched >= HOMING
+        return Sign.FOREIGN if foreign else Sign.OTHERS
+
+    def _turn(self, sign: Sign, now: int) -> Effect:
+        self.stand, effect, keep = STANDS[self.stand, sign]
+        keep(self, now)
+        return effect
+
+    def _nothing(self, now: int) -> None:
+        pass
+
+    def _claim(self, now: int) -> None:
+        self.epoch, self._beat, self._claimed = self._highest + 1, 0, now
+        self._highest = self.epoch
+
+    def _next_beat(self, now: int) -> None:
+        self._beat += 1
+
+    def _watch(self, now: int) -> None:
+        self._since = self._watched = now
+
+
+_Row = tuple[Stand, Effect, Callable[[Holding, int], None]]
+STANDS: dict[tuple[Stand, Sign], _Row] = {
+    **{(stand, Sign.LOST): (Stand.AWAY, Effect.NONE, Holding._nothing) for stand in Stand},
+    (Stand.HOLDING, Sign.LOST): (Stand.AWAY, Effect.END, Holding._nothing),
+    (Stand.WATCHING, Sign.FREE): (Stand.CLAIMING, Effect.CLAIM, Holding._claim),
+    (Stand.WATCHING, Sign.SILENT): (Stand.CLAIMING, Effect.CLAIM, Holding._claim),
+    (Stand.WATCHING, Sign.FOREIGN): (Stand.CLAIMING, Effect.CLAIM, Holding._claim),
+    (Stand.WATCHING, Sign.OTHERS): (Stand.WATCHING, Effect.NONE, Holding._nothing),
+    (Stand.CLAIMING, Sign.FREE): (Stand.CLAIMING, Effect.CLAIM, Holding._claim),
+    (Stand.CLAIMING, Sign.MINE): (Stand.CLAIMING, Effect.NONE, Holding._nothing),
+    (Stand.CLAIMING, Sign.SETTLED): (Stand.HOLDING, Effect.BEGIN, Holding._next_beat),
+    (Stand.CLAIMING, Sign.OTHERS): (Stand.WATCHING, Effect.NONE, Holding._watch),
+    (Stand.CLAIMING, Sign.SILENT): (Stand.WATCHING, Effect.NONE, Holding._watch),
+    (Stand.CLAIMING, Sign.FOREIGN): (Stand.WATCHING, Effect.NONE, Holding._watch),
+    (Stand.CLAIMING, Sign.STALE): (Stand.CLAIMING, Effect.CLAIM, Holding._claim),
+    (Stand.HOLDING, Sign.FREE): (Stand.CLAIMING, Effect.END_CLAIM, Holding._claim),
+    (Stand.HOLDING, Sign.MINE): (Stand.HOLDING, Effect.BEAT, Holding._next_beat),
+    (Stand.HOLDING, Sign.SETTLED): (Stand.HOLDING, Effect.BEAT, Holding._next_beat),
+    (Stand.HOLDING, Sign.OTHERS): (Stand.WATCHING, Effect.END, Holding._watch),
+    (Stand.HOLDING, Sign.SILENT): (Stand.WATCHING, Effect.END, Holding._watch),
+    (Stand.HOLDING, Sign.FOREIGN): (Stand.WATCHING, Effect.END, Holding._watch),
+    (Stand.HOLDING, Sign.STALE): (Stand.HOLDING, Effect.REPAIR, Holding._next_beat),
+}
--- /dev/null
+++ b/rushladder/gateways/meter.py
@@ -0,0 +1,131 @@
+"""What a gateway met between two polls: differences of the sums that `show stat` gives since its start.
+
+Sums run on as long as the gateway's process does; they start at 0 with a new process and wherever an operator
+clears them. The mean time of a server is a sliding one over the last 1,024 txns (the guide, `ttime`), so
+the mean of the few between two polls is computed back from it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from rushladder.timing import TENTHS
+
+SAMPLES = 1024  # over which the sliding mean runs: the guide's figure
+SETTLED = ("hrsp_1xx", "hrsp_2xx", "hrsp_3xx", "hrsp_4xx")
+VOIDED = ("econ", "eresp", "hrsp_5xx", "cli_abrt", "srv_abrt")
+
+
+@attrs.frozen
+class Sums:
+    """One row of `show stat`: since the gateway's start, or since its sums were cleared."""
+
+    settled: int
+    voided: int
+    came: int
+    mean: float  # ms, sliding
+
+    @property
+    def ended(self) -> int:
+        return self.settled + self.voided
+
+
+@attrs.frozen
+class Met:
+    """What ended between two polls; `time` is the sum over the settled ones, in tenths of a millisecond."""
+
+    many: int
+    voided: int
+    came: int
+    time: float
+
+
+@attrs.frozen
+class Birth:
+    """Which process it is: its number and when it started, in tenths of a millisecond of the reader's
+    clock."""
+
+    pid: str
+    started: int
+
+
+ZERO = Sums(0, 0, 0, 0.0)
+
+
+def _figure(row: Mapping[str, str], name: str) -> int:
+    text = row.get(name, "")
+    return int(text) if text.isdigit() else 0
+
+
+def read_sums(row: Mapping[str, str]) -> Sums:
+    """Raises nothing: a column that is missing or no number counts as 0, as plain proxies leave some
+    empty."""
+    return Sums(
+        sum(_figure(row, name) for name in SETTLED),
+        sum(_figure(row, name) for name in VOIDED),
+        _figure(row, "req_tot") or _figure(row, "stot"),
+        float(_figure(row, "ttime")),
+    )
+
+
+def mean_of_new(before: Sums, after: Sums, samples: int = SAMPLES) -> float:
+    """The mean time (ms) of the txns settled between two readings of a sliding mean; it may come out below 0.
+
+    While fewer than `samples` were ever seen the sliding mean is the plain one; later each new txn takes
+    one part in `samples` of it. Both readings are rounded to whole milliseconds, so a single result is good
+    to half a millisecond times samples over the number of txns; over consecutive polls these errors cancel.
+    """
+    new = after.settled - before.settled
+    if new <= 0:
+        return 0.0
+    if after.settled <= samples:
+        return (after.mean * after.settled - before.mean * before.settled) / new
+    kept = (1.0 - 1.0 / samples) ** new
+    return (after.mean - before.mean * kept) / (1.0 - kept)
+
+
+class Meter:
+    """The sums of one gateway's last poll. Bounded by the rows that the gateway has now."""
+
+    def __init__(self) -> None:
+        self._rows = dict[tuple[str, str], Sums]()
+        self._debt = dict[tuple[str, str], float]()
+        self._birth: Birth | None = None
+        self._read = 0
+
+    def poll(
+        self, rows: Iterable[Mapping[str, str]], birth: Birth, now: int
+    ) -> tuple[dict[tuple[str, str], Met], int]:
+        """What each (backend, server) met since the last poll, and the time covered (tenths of a ms).
+
+        The first poll of all covers nothing: how long its sums took is not known. A restart shows in the
+        process, and its sums count from the start; sums that fell in the same process were cleared, and
+        count from there.
+        """
+        sums = {(row.get("pxname", ""), row.get("svname", "")): read_sums(row) for row in rows}
+        first = self._birth is None
+        # The start is read off a clock of whole seconds: a second's difference is none.
+        restarted = (
+            not first
+            and self._birth is not None
+            and (birth.pid != self._birth.pid or abs(birth.started - self._birth.started) > 2 * TENTHS)
+        )
+        before = {} if restarted else self._rows
+        span = now - max(self._read, birth.started if restarted else 0)
+        found = dict[tuple[str, str], Met]()
+        for key, after in () if first else sums.items():
+            old = before.get(key, ZERO)
+            if after.settled < old.settled or after.voided < old.voided or after.came < old.came:
+                old = ZERO
+            if after == old:
+                continue
+            time = mean_of_new(old, after) * 10 * (after.settled - old.settled) + self._debt.get(key, 0.0)
+            self._debt[key] = min(0.0, time)
+            found[key] = Met(
+                after.ended - old.ended, after.voided - old.voided, after.came - old.came, max(0.0, time)
+            )
+        self._rows, self._birth, self._read = sums, birth, now
+        self._debt = {key: debt for key, debt in self._debt.items() if debt and key in sums}
+        return found, max(0, span)
