--- /dev/null
+++ b/rushladder/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m rushladder` is the command line."""
+
+from rushladder.cli.main import main
+
+main()
--- /dev/null
+++ b/rushladder/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/rushladder/cli/main.py
@@ -0,0 +1,157 @@
+"""The commands of `rushladder`. Each answers bad input with one clear line and exit 2."""
+
+from __future__ import annotations
+
+import json
+import shutil
+import socket
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+
+from rushladder import __version__
+from rushladder.conf.grammar import Address, Faulty, Unreadable, address
+from rushladder.conf.objects import Plan
+from rushladder.conf.reader import read
+from rushladder.runtime.grammar import AnswerParser, AnswerTooLong, Command, split, table, write
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """Rushladder: a control service that publishes weights, levels and withdrawals to plain proxies."""
+
+
+def load(file: str) -> Plan:
+    """The plan of a file; prints every fault and leaves with 2 if there are any."""
+    try:
+        return read(Path(file).read_text(), file)
+    except Faulty as faulty:
+        for fault in faulty.faults:
+            click.echo(str(fault), err=True)
+    except (OSError, UnicodeDecodeError) as trouble:
+        reason = trouble.strerror if isinstance(trouble, OSError) else "not text in UTF-8"
+        click.echo(f"{file}:0: can't be read: {reason}", err=True)
+    sys.exit(2)
+
+
+@main.command()
+@click.argument("file")
+def run(file: str) -> None:
+    """Runs the manager that FILE describes, until SIGTERM or SIGINT."""
+    plan = load(file)
+    from rushladder.service.run import run as serve  # the reactor is installed only where something runs
+
+    sys.exit(serve(plan))
+
+
+@main.command()
+@click.argument("files", nargs=-1, required=True)
+def check(files: tuple[str, ...]) -> None:
+    """Checks configurations: prints every fault as file:line, and leaves with 2 if there is one."""
+    for file in files:
+        plan = load(file)
+        click.echo(
+            f"{file}: manager {plan.identity.name}, {len(plan.gateways)} gateways, {len(plan.collectors)} "
+            f"collectors, {len(plan.products)} products: good"
+        )
+
+
+@main.command()
+@click.option(
+    "-s",
+    "--socket",
+    "where",
+    default="unix@rushladder.sock",
+    show_default=True,
+    help="unix@PATH or ADDRESS:PORT of a runtime socket.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Prints tables as JSON.")
+@click.option("--patience", default=10.0, show_default=True, help="Seconds to wait for an answer.")
+@click.argument("commands", nargs=-1)
+def ctl(where: str, as_json: bool, patience: float, commands: tuple[str, ...]) -> None:
+    """Sends COMMANDS, or the lines of standard input, to a runtime socket and prints the answers."""
+    try:
+        lines = list(commands) or sys.stdin.read().splitlines()
+        todo = [Command(words) for line in lines for words in split(line)]
+        failed = False
+        for answer in ask(address(where), todo, patience):
+            rows = table(answer) or table(answer, None)
+            click.echo(json.dumps(rows) if as_json and rows else answer, nl=as_json and bool(rows))
+            failed = failed or answer.startswith(("Unknown command", "Permission denied"))
+    except (Unreadable, ValueError, OSError, AnswerTooLong) as trouble:
+        click.echo(f"rushladder ctl: {where}: {trouble}", err=True)
+        sys.exit(2)
+    sys.exit(1 if failed else 0)
+
+
+def ask(where: Address, todo: list[Command], patience: float) -> list[str]:
+    """The answers of a runtime socket to the commands. Raises OSError if it can't be reached or falls
+    silent."""
+    with socket.socket(socket.AF_UNIX if where.path else socket.AF_INET) as wire:
+        wire.settimeout(patience)
+        wire.connect(where.path or (where.host, where.port))
+        parser, answers = AnswerParser(), list[str]()
+        wire.sendall(write([Command(("prompt",))]))
+        for command in todo:
+            wire.sendall(write([command]))
+        while len(answers) < len(todo) + 1:
+            data = wire.recv(65_536)
+            if not data:
+                raise ConnectionError("closed before all answers came")
+            answers += parser.feed(data)
+        return answers[1:]
+
+
+@main.command()
+@click.argument("file")
+@click.option("--report", type=click.Path(file_okay=False), help="Writes charts of the day to this folder.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Keeps the records in this folder.")
+@click.option("--compare", is_flag=True, help="Plays the day again on standing tables, without managers.")
+def trial(file: str, report: str | None, keep: str | None, compare: bool) -> None:
+    """Plays the day in FILE with real managers and stand-ins on loopback, and judges it. Leaves with 1 if
+    a rule broke."""
+    from rushladder.trials import charts, day as days, judge, play
+
+    try:
+        day = days.read_day(Path(file).read_text(), file)
+    except Faulty as faulty:
+        for fault in faulty.faults:
+            click.echo(str(fault), err=True)
+        sys.exit(2)
+    except (OSError, UnicodeDecodeError) as trouble:
+        click.echo(f"{file}:0: can't be read: {trouble}", err=True)
+        sys.exit(2)
+    verdicts = []
+    for steered in (True, False) if compare else (True,):
+        with tempfile.TemporaryDirectory(prefix="rl") as made:
+            folder = Path(made)
+            play.Trial(day, folder, steered).play()
+            rows = judge.load(folder)
+            verdicts.append(judge.judge(day, rows))
+            if keep and steered:
+                shutil.copytree(
+                    folder, keep, dirs_exist_ok=True, ignore=shutil.ignore_patterns("*.sock", "*.ctl")
+                )
+    click.echo(
+        f"day {day.name}, {day.length:g} s: {len(day.managers)} managers, {len(day.gateways)} gateways, "
+        f"{len(day.collectors)} collectors, {day.load:g} txns/s"
+    )
+    click.echo(verdicts[0].text())
+    if compare:
+        click.echo(f"on standing tables: service {verdicts[1].service:.3f}")
+    if report:
+        for path in charts.draw(day, verdicts[0], Path(report), verdicts[1] if compare else None):
+            click.echo(str(path))
+    sys.exit(1 if verdicts[0].breaks else 0)
+
+
+@main.command()
+def version() -> None:
+    """Prints the version."""
+    click.echo(f"rushladder {__version__}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/rushladder/service/run.py
@@ -0,0 +1,166 @@
+"""A manager as a process: sockets, signals, the log, and the list kept over a restart."""
+
+from __future__ import annotations
+
+import logging
+import os
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import structlog
+from twisted.internet import endpoints, reactor as _reactor
+from twisted.internet.defer import Deferred
+
+from rushladder.conf.grammar import Address
+from rushladder.conf.objects import GatewaySite, LogForm, Plan
+from rushladder.peers.link import PeerLink
+from rushladder.runtime.endpoint import RuntimeClient, RuntimeFactory
+from rushladder.service.api import verbs
+from rushladder.service.manager import Manager
+from rushladder.service.probing import HttpProber
+from rushladder.timing import tenths
+
+reactor: Any = _reactor
+SAVE_EVERY = 0.2  # s between two looks at whether the list has changed: many changes become one write
+DIAL_MOST = 1.0  # s for a connection to a gateway's socket
+
+
+def make_log(form: LogForm, **bound: Any) -> Any:
+    render = (
+        structlog.processors.JSONRenderer()
+        if form.form == "json"
+        else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+    )
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            render,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, form.level.upper())),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+    return structlog.get_logger().bind(**bound)
+
+
+def client_endpoint(address: Address) -> Any:
+    if address.path:
+        return endpoints.UNIXClientEndpoint(reactor, address.path, timeout=DIAL_MOST)
+    return endpoints.TCP4ClientEndpoint(reactor, address.host, address.port, timeout=DIAL_MOST)
+
+
+def server_endpoint(address: Address) -> Any:
+    if address.path:
+        return endpoints.UNIXServerEndpoint(reactor, address.path, mode=0o600)
+    if ":" in address.host:
+        return endpoints.TCP6ServerEndpoint(reactor, address.port, interface=address.host)
+    return endpoints.TCP4ServerEndpoint(reactor, address.port, interface=address.host)
+
+
+def clear_path(address: Address) -> None:
+    """A socket that a killed manager left behind is in the way of the next one."""
+    if address.path and Path(address.path).is_socket():
+        Path(address.path).unlink()
+
+
+def dial(site: GatewaySite, client: RuntimeClient) -> Deferred[Any]:
+    dialled: Deferred[Any] = endpoints.connectProtocol(client_endpoint(site.address), client)
+    return dialled
+
+
+class ListFile:
+    """The list as it survives a restart: replaced whole, so that no reader meets half of it."""
+
+    def __init__(self, path: str) -> None:
+        self._path = Path(path)
+
+    def read(self) -> tuple[str, float]:
+        """Its text, and the seconds since it was written; an empty text if there is none."""
+        try:
+            return self._path.read_text(), max(0.0, time.time() - self._path.stat().st_mtime)
+        except (OSError, UnicodeDecodeError):
+            return "", 0.0
+
+    def write(self, text: str) -> None:
+        """Raises OSError if it could not be written; what stood there before is still whole then."""
+        other = self._path.with_suffix(self._path.suffix + ".new")
+        with open(other, "w") as file:
+            file.write(text)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(other, self._path)
+
+
+class Service:
+    """A manager and its sockets."""
+
+    def __init__(self, plan: Plan, log: Any) -> None:
+        self._plan, self._log = plan, log
+        self._file = ListFile(plan.list_file) if plan.list_file else None
+        restored, away = self._file.read() if self._file else ("", 0.0)
+        self.manager = Manager(
+            plan, reactor, dial, HttpProber(reactor) if plan.may_probe else None, log, restored, away
+        )
+
+    async def start(self) -> None:
+        """Binds every socket, then starts. Raises OSError or Twisted's CannotListenError if one can't be
+        bound."""
+        table = verbs(self.manager)
+        for listener in self._plan.listeners:
+            clear_path(listener.address)
+            factory = RuntimeFactory(table, listener.level, reactor, on_fault=self.manager.fault)
+            await server_endpoint(listener.address).listen(factory)
+        if self._plan.peer_listener is not None:
+            link = PeerLink(
+                self._plan.identity.name,
+                int(time.time() * 1000),
+                {peer.name: peer for peer in self._plan.peers},
+                reactor,
+                self.manager.heard,
+                self.manager.fault,
+            )
+            reactor.listenUDP(self._plan.peer_listener.port, link, interface=self._plan.peer_listener.host)
+            self.manager.words.append(link)
+        reactor.addSystemEventTrigger("before", "shutdown", self.stop)
+        self.manager.start()
+        self._save()
+        self._log.info(
+            "manager.started",
+            region=self._plan.identity.region,
+            gateways=len(self._plan.gateways),
+            servers=len(self.manager.roster.listed),
+            restored=self.manager.restored,
+        )
+
+    def stop(self) -> None:
+        self.manager.stop()
+
+    def _save(self) -> None:
+        roster = self.manager.roster
+        if self._file is not None and (roster.version != self.manager.saved):
+            try:
+                self._file.write(roster.dump(tenths(reactor)))
+                self.manager.saved = roster.version
+            except OSError as trouble:
+                self.manager.fault(f"the list could not be kept: {trouble}")
+        reactor.callLater(SAVE_EVERY, self._save)
+
+
+def run(plan: Plan) -> int:
+    """Runs a manager until it is told to stop; 0, or 1 if a socket can't be bound."""
+    log, failed = make_log(plan.log, manager=plan.identity.name), list[str]()
+
+    def trouble(failure: Any) -> None:
+        failed.append(f"{failure.value}")
+        reactor.stop()
+
+    def begin() -> None:
+        Deferred.fromCoroutine(Service(plan, log).start()).addErrback(trouble)
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    if failed:
+        log.error("manager.failed", cause=failed[0])
+    return 1 if failed else 0
--- /dev/null
+++ b/rushladder/trials/play.py
@@ -0,0 +1,411 @@
+"""Plays a day: managers and stand-ins as processes on loopback, and what happens to them when."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from rushladder.cli.main import ask
+from rushladder.conf.grammar import Address
+from rushladder.runtime.grammar import Command, split
+from rushladder.standins.record import Record
+from rushladder.trials.day import Asked, Day, Happening, Site
+
+SETTLE = 5.0  # s before the day begins: managers have taken their gateways, connections are open
+CLOSING = 1.5  # s after the day in which last answers come in
+
+
+def free_ports(many: int) -> list[int]:
+    """Ports that nobody listens at just now."""
+    sockets = [socket.socket() for _ in range(many)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class Trial:
+    """One day in one folder. `steered`: whether managers run, or the standing tables are left as they are."""
+
+    def __init__(self, day: Day, folder: Path, steered: bool = True) -> None:
+        self.day, self.folder, self._steered = day, folder, steered
+        self._processes = dict[str, subprocess.Popen[bytes]]()
+        self._commands = dict[str, list[str]]()
+        self._record = Record(str(folder / "trial.jsonl"), "trial")
+        ports = iter(free_ports(len(day.collectors) + len(day.gateways) + len(day.managers)))
+        self._port = {site.name: next(ports) for site in (*day.collectors, *day.gateways, *day.managers)}
+        self._todo = list[tuple[float, int, Callable[[], None]]]()
+        self._zero = 0.0
+        self._listed = {site.name: "maint" if site.absent else "ready" for site in day.collectors}
+
+    # Files.
+
+    def _path(self, name: str) -> str:
+        return str(self.folder / name)
+
+    def _address(self, site: Site) -> str:
+        return f"127.0.0.1:{self._port[site.name]}"
+
+    def _plan(self, manager: Site) -> str:
+        day = self.day
+        lines = [
+            "global",
+            "    log json",
+            f"    seed {day.seed}",
+            f"manager {manager.name}",
+            f"    region {manager.region}",
+            f"    list-file {self._path(manager.name + '.list')}",
+        ]
+        lines += ["    " + " ".join(words) for words in day.plan]
+        lines += [f"region {region}" for region in day.regions]
+        for product in day.products:
+            lines += [f"product {product.name}", *("    " + " ".join(words) for words in product.lines)]
+        whole = len(day.gateways)
+        for site in day.gateways:
+            lines += [
+                f"gateway {site.name}",
+                f"    region {site.region}",
+                f"    usual {day.load / whole:.2f}/s",
+                f"    socket unix@{self._path(f'{site.name}.{manager.name}.sock')}",
+            ]
+        for site in day.collectors:
+            if not site.absent:
+                lines += [
+                    f"collector {site.name}",
+                    f"    region {site.region}",
+                    f"    address {self._address(site)}",
+                    f"    model {site.model}",
+                    f"    size {site.size:g}",
+                ]
+        for site in day.managers:
+            if site is not manager:
+                lines += [f"peer {site.name}", f"    address {self._address(site)}"]
+        lines += [
+            "listen words",
+            f"    bind {self._address(manager)}",
+            "    peers",
+            "listen admin",
+            f"    bind unix@{self._path(manager.name + '.sock')} level admin",
+            "",
+        ]
+        return "\n".join(lines)
+
+    def _describe(self) -> None:
+        day = self.day
+        cold = _seconds(day.figure("cold", otherwise="15s"))
+        cold_from = float(day.figure("cold", "from", "17%").rstrip("%")) / 100
+        builds = [
+            {
+                "name": s.name,
+                "port": self._port[s.name],
+                "cores": s.cores,
+                "speed": s.speed,
+                "cold": cold,
+                "cold_from": cold_from,
+                "fall_multiple": float(day.figure("fall", otherwise="2.5x").rstrip("x")),
+                "fall_for": _seconds(day.figure("fall", "for", "2s")),
+                "starts": not s.absent,
+            }
+            for s in day.collectors
+        ]
+        self._stand_in("collectors", {"kind": "collectors", "builds": builds})
+        for site in day.gateways:
+            near = [s for s in day.collectors if not s.absent and s.region == site.region][:5]
+            standing = {s.name: self._address(s) for s in near or day.collectors[:5]}
+            self._stand_in(
+                site.name,
+                {
+                    "kind": "gateway",
+                    "port": self._port[site.name],
+                    "products": [p.name for p in day.products],
+                    "sockets": [self._path(f"{site.name}.{m.name}.sock") for m in day.managers],
+                    "standing": standing,
+                },
+            )
+        for manager in day.managers if self._steered else ():
+            plan = self._path(manager.name + ".conf")
+            Path(plan).write_text(self._plan(manager))
+            self._commands[manager.name] = [sys.executable, "-m", "rushladder", "run", plan]
+        asks = [
+            {
+                "name": p.name,
+                "share": p.share,
+                "work": p.work,
+                "expiry": p.expiry,
+                "repeats": p.repeat == "inquiry-like",
+            }
+            for p in day.products
+        ]
+        self._stand_in(
+            "clients",
+            {
+                "kind": "load",
+                "asks": asks,
+                "rate": day.load,
+                "seed": day.seed,
+                "gateways": [[s.name, self._port[s.name]] for s in day.gateways],
+            },
+        )
+
+    def _stand_in(self, name: str, what: dict[str, object]) -> None:
+        file = self.folder / f"{name}.json"
+        file.write_text(
+            json.dumps(
+                {
+                    "who": name,
+                    "record": self._path(name + ".jsonl"),
+                    "control": self._path(name + ".ctl"),
+                    **what,
+                }
+            )
+        )
+        self._commands[name] = [sys.executable, "-m", "rushladder.standins", str(file)]
+
+    # Processes.
+
+    def _start(self, name: str) -> None:
+        with open(self._path(name + ".log"), "ab") as log:
+            self._processes[name] = subprocess.Popen(
+                self._commands[name], stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+        self._record.note("process", name=name, what="start")
+
+    def _signal(self, name: str, number: signal.Signals) -> None:
+        process = self._processes[name]
+        if process.poll() is None:
+            process.send_signal(number)
+            if number is signal.SIGKILL:
+                process.wait()
+            self._record.note("process", name=name, what=number.name)
+
+    def _tell(self, control: str, text: str) -> list[str]:
+        commands = [Command(words) for words in split(text)]
+        try:
+            return ask(Address(path=self._path(control)), commands, 3.0)
+        except OSError as trouble:
+            self._record.note("untold", control=control, text=text, why=str(trouble))
+            return []
+
+    def _list(self, name: str, text: str, state: str = "") -> None:
+        """Tells every manager of a change of the list, as an orchestrator would, and again until each was
+        told."""
+        if state:
+            self._listed[name] = state
+        for manager in self.day.managers if self._steered else ():
+            self._list_one(manager.name, name, text, state, 0)
+
+    def _list_one(self, manager: str, name: str, text: str, state: str, turn: int) -> None:
+        if state and self._listed[name] != state:
+            return
+        answers = self._tell(manager + ".sock", text)
+        if answers:
+            self._record.note("listed", manager=manager, name=name, state=state, answer=answers[0][:60])
+        elif turn < 40:
+            self._later(0.3, lambda: self._list_one(manager, name, text, state, turn + 1))
+
+    def _later(self, after: float, what: Callable[[], None]) -> None:
+        self._at(time.monotonic() - self._zero + after, what)
+
+    def _at(self, at: float, what: Callable[[], None]) -> None:
+        self._todo.append((at, len(self._todo), what))
+
+    # What happens.
+
+    def _happen(self, one: Happening) -> None:
+        names = one.names or ("",)
+        for name in names:
+            begin, end = getattr(self, f"_{one.who}")(name, one.what, one.arguments, one)
+            self._at(one.at, begin)
+            if one.lasts and end is not None:
+                self._at(one.at + one.lasts, end)
+
+    def _load(
+        self, _: str, what: str, words: tuple[str, ...], one: Happening
+    ) -> tuple[Callable[[], None], Callable[[], None] | None]:
+        back = {"times": "factor all 1", "heavy": "heavy 0 1", "patience": "patience 1"}
+        text = {"times": "factor all", "heavy": "heavy", "patience": "patience", "shift": "factor"}[what]
+        return (
+            lambda: self._clients(f"{text} {' '.join(words)}"),
+            (lambda: self._clients(back[what])) if what in back else None,
+        )
+
+    def _clients(self, text: str) -> None:
+        self._tell("clients.ctl", text)
+        self._record.note("happens", what=text)
+
+    def _collector(
+        self, name: str, what: str, words: tuple[str, ...], one: Happening
+    ) -> tuple[Callable[[], None], Callable[[], None] | None]:
+        site = next(s for s in self.day.collectors if s.name == name)
+
+        def tell(text: str) -> Callable[[], None]:
+            def go() -> None:
+                self._record.note("happens", what=text)
+                self._tell("collectors.ctl", text)
+
+            return go
+
+        def listed(state: str) -> Callable[[], None]:
+            return lambda: self._list(name, f"set server fleet/{name} state {state}", state)
+
+        def both(*steps: Callable[[], None]) -> Callable[[], None]:
+            def go() -> None:
+                for step in steps:
+                    step()
+
+            return go
+
+        crash, start = tell(f"crash {name}"), tell(f"start {name}")
+        if what == "crash":  # the list hears of it a second late, and of its return at once
+            return both(crash, lambda: self._later(1.0, listed("maint"))), both(start, listed("ready"))
+        if what == "flap":
+            period, at = _seconds(words[0]), 0.0
+            while at < max(one.lasts, period):
+                self._at(one.at + at, crash)
+                self._at(one.at + at + 0.4 * period, start)
+                at += period
+            return (lambda: None), start
+        if what == "release":  # drained, stopped, started cold
+            away = _seconds(words[0])
+            return both(
+                listed("drain"),
+                lambda: self._later(0.5 * away, both(crash, listed("maint"))),
+                lambda: self._later(away, both(start, listed("ready"))),
+            ), None
+        if what == "ageing":
+            for step in range(1, 6):
+                factor = 1 + (float(words[0]) - 1) * step / 5
+                self._at(one.at + (one.lasts or 5) * step / 6, tell(f"slow {name} {factor:.2f}"))
+            return (lambda: None), tell(f"slow {name} 1")
+        if what == "join":
+            text = (
+                f"add server fleet/{name} {self._address(site)} region {site.region} model {site.model} "
+                f"weight {site.size:g}"
+            )
+            return both(start, lambda: self._list(name, text, "ready")), None
+        if what in ("slow", "fail", "hang"):
+            word, back = {
+                "slow": (words and words[0], "1"),
+                "hang": ("on", "off"),
+                "fail": (words and f"{float(words[0].rstrip('%')) / 100}", "0"),
+            }[what]
+            return tell(f"{what} {name} {word}"), tell(f"{what} {name} {back}")
+        if what == "weight":
+            return (lambda: self._list(name, f"set server fleet/{name} weight {words[0]}")), None
+        return listed(what), None
+
+    def _process(self, name: str, what: str) -> tuple[Callable[[], None], Callable[[], None] | None]:
+        if what == "kill":
+            return (lambda: self._signal(name, signal.SIGKILL)), lambda: self._start(name)
+        return (lambda: self._signal(name, signal.SIGSTOP)), lambda: self._signal(name, signal.SIGCONT)
+
+    def _manager(
+        self, name: str, what: str, words: tuple[str, ...], one: Happening
+    ) -> tuple[Callable[[], None], Callable[[], None] | None]:
+        return self._process(name, what) if self._steered else ((lambda: None), None)
+
+    def _gateway(
+        self, name: str, what: str, words: tuple[str, ...], one: Happening
+    ) -> tuple[Callable[[], None], Callable[[], None] | None]:
+        if what in ("kill", "stall"):
+            return self._process(name, what)
+        if what == "break":
+            return (lambda: self._stream(name, "break")), None
+        return (lambda: self._stream(name, "close")), lambda: self._stream(name, "open")
+
+    def _stream(self, gateway: str, what: str, managers: tuple[str, ...] = ()) -> None:
+        paths = " ".join(self._path(f"{gateway}.{manager}.sock") for manager in managers)
+        self._tell(gateway + ".ctl", f"streams {what} {paths}".strip())
+
+    def _region(
+        self, name: str, what: str, words: tuple[str, ...], one: Happening
+    ) -> tuple[Callable[[], None], Callable[[], None] | None]:
+        def cut(on: bool) -> Callable[[], None]:
+            def go() -> None:
+                for gateway in self.day.gateways:
+                    far = tuple(
+                        m.name for m in self.day.managers if (m.region == name) != (gateway.region == name)
+                    )
+                    if far:
+                        self._stream(gateway.name, "close" if on else "open", far)
+                    out = (
+                        [
+                            self._address(c)
+                            for c in self.day.collectors
+                            if (c.region == name) != (gateway.region == name)
+                        ]
+                        if on
+                        else []
+                    )
+                    self._tell(gateway.name + ".ctl", " ".join(["unreachable", *out]))
+
+            return go
+
+        return cut(True), cut(False)
+
+    # The whole.
+
+    def play(self) -> None:
+        """Runs the day from start to end; whatever it started has ended when it returns."""
+        self._describe()
+        try:
+            for name in self._commands:
+                if name != "clients":
+                    self._start(name)
+            self._wait_for([f"{name}.ctl" for name in ("collectors", *(g.name for g in self.day.gateways))])
+            self._start("clients")
+            time.sleep(SETTLE)
+            self._zero = time.monotonic()
+            self._record.note("day", what="begins")
+            for happening in self.day.happenings:
+                self._happen(happening)
+            while (now := time.monotonic() - self._zero) < self.day.length:
+                due = sorted(item for item in self._todo if item[0] <= now)
+                self._todo = [item for item in self._todo if item[0] > now]
+                for _, _, what in due:
+                    what()
+                time.sleep(0.005)
+            self._record.note("day", what="ends")
+            self._tell("clients.ctl", "stop")
+            time.sleep(CLOSING)
+        finally:
+            self._end()
+
+    def _wait_for(self, names: list[str]) -> None:
+        until = time.monotonic() + 20
+        while not all(os.path.exists(self._path(name)) for name in names):
+            if time.monotonic() > until:
+                raise TimeoutError("a stand-in did not start; see its .log")
+            time.sleep(0.05)
+
+    def _end(self) -> None:
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in self._processes.values():
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait(5)
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+
+
+def _seconds(word: str) -> float:
+    from rushladder.conf.grammar import duration
+
+    return duration(word) / 10_000
+
+
+def products(day: Day) -> dict[str, Asked]:
+    return {product.name: product for product in day.products}
