--- a/rushladder/cli/main.py
+++ b/rushladder/cli/main.py
@@ -139,6 +139,8 @@
         f"{len(day.collectors)} collectors, {day.load:g} txns/s"
     )
     click.echo(verdicts[0].text())
+    for line in verdicts[0].steering():
+        click.echo(line)
     if compare:
         click.echo(f"on standing tables: service {verdicts[1].service:.3f}")
     if report:
--- a/rushladder/core/host.py
+++ b/rushladder/core/host.py
@@ -19,7 +19,7 @@
 from rushladder.brain import Gateway, Manager, Server
 from rushladder.core.pace import Pace
 from rushladder.core.roster import Roster
-from rushladder.gateways.difference import Admin, Held, Key, Line, server_commands
+from rushladder.gateways.difference import Admin, Held, Key, Line, server_commands, sweep_commands
 from rushladder.gateways.rounding import round_pool
 from rushladder.interface import (
     Applied,
@@ -246,6 +246,13 @@
         port.went(now, port.sent_lines)
         return Message(tuple(commands), maps)
 
+    def sweep(self, port: Port) -> list[Command]:
+        """Commands that rid a gateway of servers that are off the list; none while it is owed something."""
+        if port.sent_at or port.owed:
+            return []
+        used = {(p.name, server.name) for p, tbl in port.tables.items() for server in tbl.lines}
+        return sweep_commands(port.held.lines, self.roster.listed, used)
+
     def maps(self, port: Port) -> dict[str, dict[str, str]]:
         levels, retries = dict[str, str](), dict[str, str]()
         for product, tbl in port.tables.items():
--- a/rushladder/gateways/difference.py
+++ b/rushladder/gateways/difference.py
@@ -111,6 +111,25 @@
     return adds + ups + drains + downs + late
 
 
+def sweep_commands(held: Mapping[Key, Line], listed: Collection[str], used: Collection[Key]) -> list[Command]:
+    """Takes servers that nobody lists any more, and no table uses, out of a gateway: first maintenance,
+    then away.
+
+    Two steps in two readings: a gateway refuses to delete a server that still has connections, and one that
+    was only just drained may have txns in hand. Backends' other servers are left alone.
+    """
+    found = list[Command]()
+    for key, line in held.items():
+        if key[1] in listed or key in used or line.weight:
+            continue
+        name = "/".join(key)
+        if line.admin is Admin.MAINT:
+            found.append(Command(("del", "server", name)))
+        else:
+            found.append(Command(("set", "server", name, "state", "maint")))
+    return found
+
+
 def map_commands(name: str, version: str, entries: Mapping[str, str]) -> list[Command]:
     """A map's new content, applied in one step: entries of a prepared version, and its commit."""
     return [Command(("add", "map", f"@{version}", name, key, value)) for key, value in entries.items()] + [
--- a/rushladder/gateways/driver.py
+++ b/rushladder/gateways/driver.py
@@ -24,7 +24,7 @@
 from rushladder.gateways.meter import Birth, Meter, Met
 from rushladder.interface import Event, Joined, Left, Product
 from rushladder.runtime.endpoint import RuntimeClient, Silent
-from rushladder.runtime.grammar import Command, fields, table
+from rushladder.runtime.grammar import Command, fields
 from rushladder.timing import TENTHS, Call, Clock, tenths
 
 HOLDER, WROTE = "proc.rushladder_holder", "proc.rushladder_wrote"
@@ -34,6 +34,9 @@
     0.2,
     2.0,
 )  # s between two dials: a gateway that restarts is found soon, a dead one cheaply
+SWEEP = (
+    30.0  # s between two looks for servers off the list: longer than any expiry, so that their txns are over
+)
 AGAIN_MOST = 30.0  # s between two attempts at orders that a gateway refuses
 
 
@@ -95,7 +98,7 @@
         self._meter = Meter()
         self.port: Port | None = None
         self._wait, self._again, self._numbers = FIRST_WAIT, 0.0, 0
-        self._sending, self._reading = False, False
+        self._sending, self._swept = False, clock.seconds()
         self._later: Call | None = None
         self._poll: Call | None = None
         self._stopped = False
@@ -147,7 +150,7 @@
         for call in (self._poll, self._later):
             if call is not None and call.active():
                 call.cancel()
-        self._sending = self._reading = False
+        self._sending = False
         if self.holding.lost() is Effect.END:
             self._end(f"connection lost: {why}")
         if not self._stopped:
@@ -201,8 +204,23 @@
             if len(answers) == 4:
                 self._met_since(answers[2], answers[3], asked)
             self.kick()
+            await self._sweep(client, self.port)
         self._next_poll(client)
 
+    async def _sweep(self, client: RuntimeClient, port: Port) -> None:
+        """Now and then, what nobody lists any more; a refusal (it still has connections) is asked again
+        later."""
+        if self._clock.seconds() < self._swept + SWEEP or self._sending:
+            return
+        self._swept = self._clock.seconds()
+        commands = self._core.sweep(port)[:A_LINE]
+        if commands and self.holding.may_send(tenths(self._clock)):
+            answers = await client.ask(*commands)
+            done = [
+                command for command, answer in zip(commands, answers, strict=True) if answer in GOOD_ANSWERS
+            ]
+            applied(port.held.lines, done)
+
     async def _carry_out(self, client: RuntimeClient, effect: Effect) -> None:
         if effect in (Effect.END, Effect.END_CLAIM):
             self._end("held by another" if effect is Effect.END else "the gateway restarted")
@@ -240,9 +258,7 @@
         up = facts.get("Uptime_sec", "")
         if not up.isdigit():
             raise Unexpected(f"no uptime in: {info[:80]!r}")
-        found, span = self._meter.poll(
-            table(stat), Birth(facts.get("Pid", ""), asked - int(up) * TENTHS), asked
-        )
+        found, span = self._meter.poll(stat, Birth(facts.get("Pid", ""), asked - int(up) * TENTHS), asked)
         tries, came = dict[Server, Met](), dict[Product, Met]()
         for (backend, name), met in found.items():
             listed = self._core.roster.listed.get(name)
--- a/rushladder/gateways/meter.py
+++ b/rushladder/gateways/meter.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterator, Sequence
+from operator import itemgetter
 
 import attrs
 
@@ -16,6 +17,7 @@
 SAMPLES = 1024  # over which the sliding mean runs: the guide's figure
 SETTLED = ("hrsp_1xx", "hrsp_2xx", "hrsp_3xx", "hrsp_4xx")
 VOIDED = ("econ", "eresp", "hrsp_5xx", "cli_abrt", "srv_abrt")
+COLUMNS = (*SETTLED, *VOIDED, "req_tot", "stot", "ttime")
 
 
 @attrs.frozen
@@ -54,20 +56,36 @@
 ZERO = Sums(0, 0, 0, 0.0)
 
 
-def _figure(row: Mapping[str, str], name: str) -> int:
-    text = row.get(name, "")
+def _figure(text: str) -> int:
     return int(text) if text.isdigit() else 0
 
 
-def read_sums(row: Mapping[str, str]) -> Sums:
-    """Raises nothing: a column that is missing or no number counts as 0, as plain proxies leave some
-    empty."""
-    return Sums(
-        sum(_figure(row, name) for name in SETTLED),
-        sum(_figure(row, name) for name in VOIDED),
-        _figure(row, "req_tot") or _figure(row, "stot"),
-        float(_figure(row, "ttime")),
-    )
+def read_sums(figures: Sequence[str]) -> Sums:
+    """The sums of a row's figures in the order of COLUMNS. Raises nothing: what is no number counts as 0."""
+    many = len(SETTLED)
+    some = [_figure(text) for text in figures]
+    return Sums(sum(some[:many]), sum(some[many : many + len(VOIDED)]), some[-3] or some[-2], float(some[-1]))
+
+
+def read_rows(answer: str) -> Iterator[tuple[tuple[str, str], tuple[str, ...]]]:
+    """The figures of each (backend, server) of `show stat`, in the order of COLUMNS, as they are written.
+
+    Columns are found by name, as proxies add some with each version; a missing one reads as empty.
+    """
+    lines = answer.splitlines()
+    start = next((place for place, line in enumerate(lines) if line.startswith("# ")), len(lines))
+    if start == len(lines):
+        return
+    names = lines[start][2:].split(",")
+    places = [names.index(name) if name in names else -1 for name in ("pxname", "svname", *COLUMNS)]
+    pick, width = itemgetter(*places), max(places) + 1
+    for line in lines[start + 1 :]:
+        cells = line.split(",")
+        if len(cells) < width:
+            cells += [""] * (width - len(cells))
+        cells.append("")  # stands for the columns that are missing
+        backend, server, *figures = pick(cells)
+        yield (backend, server), tuple(figures)
 
 
 def mean_of_new(before: Sums, after: Sums, samples: int = SAMPLES) -> float:
@@ -90,21 +108,19 @@
     """The sums of one gateway's last poll. Bounded by the rows that the gateway has now."""
 
     def __init__(self) -> None:
-        self._rows = dict[tuple[str, str], Sums]()
+        self._rows = dict[tuple[str, str], tuple[str, ...]]()
         self._debt = dict[tuple[str, str], float]()
         self._birth: Birth | None = None
         self._read = 0
 
-    def poll(
-        self, rows: Iterable[Mapping[str, str]], birth: Birth, now: int
-    ) -> tuple[dict[tuple[str, str], Met], int]:
+    def poll(self, answer: str, birth: Birth, now: int) -> tuple[dict[tuple[str, str], Met], int]:
         """What each (backend, server) met since the last poll, and the time covered (tenths of a ms).
 
-        The first poll of all covers nothing: how long its sums took is not known. A restart shows in the
-        process, and its sums count from the start; sums that fell in the same process were cleared, and
-        count from there.
+        answer: that of `show stat`. The first poll of all covers nothing: how long its sums took is not
+        known. A restart shows in the process, and its sums count from the start; sums that fell in the same
+        process were cleared, and count from there. A row that has not changed costs one comparison.
         """
-        sums = {(row.get("pxname", ""), row.get("svname", "")): read_sums(row) for row in rows}
+        rows = dict(read_rows(answer))
         first = self._birth is None
         # The start is read off a clock of whole seconds: a second's difference is none.
         restarted = (
@@ -115,8 +131,10 @@
         before = {} if restarted else self._rows
         span = 0 if first else now - max(self._read, birth.started if restarted else 0)
         found = dict[tuple[str, str], Met]()
-        for key, after in () if first else sums.items():
-            old = before.get(key, ZERO)
+        for key, figures in () if first else rows.items():
+            if before.get(key) == figures:
+                continue
+            after, old = read_sums(figures), read_sums(before[key]) if key in before else ZERO
             if after.settled < old.settled or after.voided < old.voided or after.came < old.came:
                 old = ZERO
             if after == old:
@@ -126,6 +144,6 @@
             found[key] = Met(
                 after.ended - old.ended, after.voided - old.voided, after.came - old.came, max(0.0, time)
             )
-        self._rows, self._birth, self._read = sums, birth, now
-        self._debt = {key: debt for key, debt in self._debt.items() if debt and key in sums}
+        self._rows, self._birth, self._read = rows, birth, now
+        self._debt = {key: debt for key, debt in self._debt.items() if debt and key in rows}
         return found, max(0, span)
--- a/rushladder/runtime/grammar.py
+++ b/rushladder/runtime/grammar.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Iterable, Sequence
 from enum import Enum
 
@@ -18,6 +19,7 @@
 PAYLOAD_MOST = 131_072  # bytes of a payload: 4,000 map entries of 32 bytes, far above any fleet's products
 ANSWER_MOST = 8_388_608  # bytes of an answer: 1,000 servers x 10 backends x 600 bytes of statistics and some
 PROMPT, MORE = b"> ", b"+ "
+SPECIAL = re.compile(r"[ \t;\\]")
 
 
 @attrs.frozen
@@ -101,7 +103,7 @@
     """
     if not word or "\n" in word or "\r" in word:
         raise ValueError(f"no word of a command: {word!r}")
-    return "".join("\\" + char if char in " \t;\\" else char for char in word)
+    return SPECIAL.sub(r"\\\g<0>", word) if SPECIAL.search(word) else word
 
 
 def write(commands: Iterable[Command]) -> bytes:
--- a/rushladder/service/api.py
+++ b/rushladder/service/api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable
 
 from rushladder import __version__
@@ -47,7 +48,7 @@
         [
             Verb(tuple(words.split()), level, usage, _refusing(run))
             for words, level, usage, run in (
-                ("show info", Level.USER, "show info : facts about this manager", api.info),
+                ("show info", Level.USER, "show info [json] : facts about this manager", api.info),
                 ("show version", Level.USER, "show version : its version", lambda words: f"{__version__}\n"),
                 ("show stat", Level.USER, "show stat : sums by product and by collector, as CSV", api.stat),
                 (
@@ -87,6 +88,8 @@
                     "set server fleet/NAME state ready|drain|maint ; set server fleet/NAME weight SIZE",
                     api.set_server,
                 ),
+                ("enable server", Level.ADMIN, "enable server fleet/NAME : as state ready", api.enable),
+                ("disable server", Level.ADMIN, "disable server fleet/NAME : as state maint", api.disable),
                 (
                     "add server",
                     Level.ADMIN,
@@ -107,6 +110,17 @@
 Run = Callable[[tuple[str, ...]], str]
 
 
+def _field(place: int, key: str, value: str | int) -> dict[str, object]:
+    """One fact in the guide's JSON form of `show info`."""
+    kind = "str" if isinstance(value, str) else "u64"
+    return {
+        "field": {"pos": place, "name": key},
+        "processNum": 1,
+        "tags": {"origin": "Product", "nature": "Output", "scope": "Process"},
+        "value": {"type": kind, "value": value},
+    }
+
+
 def _refusing(run: Run) -> Callable[[Command, Level], str]:
     def call(command: Command, level: Level) -> str:
         try:
@@ -127,27 +141,30 @@
         manager, up = self._manager, self._manager.clock.seconds() - self._manager.started
         owed, sent = self._core.waiting()
         unanswered = sum(driver.waiting() for driver in manager.drivers)
-        return "".join(
-            f"{key}: {value}\n"
-            for key, value in {
-                "Name": "rushladder",
-                "Version": __version__,
-                "Node": manager.plan.identity.name,
-                "Region": manager.plan.identity.region,
-                "Uptime_sec": int(up),
-                "Beats": manager.beats,
-                "Events": manager.events,
-                "Gateways": len(manager.drivers),
-                "GatewaysHeld": len(self._core.ports),
-                "Servers": len(self._roster.listed),
-                "ListVersion": self._roster.version,
-                "ListRestored": int(manager.restored),
-                "LinesOwed": owed,
-                "LinesSent": sent,
-                "CommandsUnanswered": unanswered,
-                "Errors": sum(fault.many for fault in manager.errors),
-            }.items()
-        )
+        facts: dict[str, str | int] = {
+            "Name": "rushladder",
+            "Version": __version__,
+            "Node": manager.plan.identity.name,
+            "Region": manager.plan.identity.region,
+            "Uptime_sec": int(up),
+            "Beats": manager.beats,
+            "Events": manager.events,
+            "Gateways": len(manager.drivers),
+            "GatewaysHeld": len(self._core.ports),
+            "Servers": len(self._roster.listed),
+            "ListVersion": self._roster.version,
+            "ListRestored": int(manager.restored),
+            "LinesOwed": owed,
+            "LinesSent": sent,
+            "CommandsUnanswered": unanswered,
+            "Errors": sum(fault.many for fault in manager.errors),
+        }
+        if words[2:3] == ("json",):
+            return (
+                json.dumps([_field(place, key, value) for place, (key, value) in enumerate(facts.items())])
+                + "\n"
+            )
+        return "".join(f"{key}: {value}\n" for key, value in facts.items())
 
     def stat(self, words: tuple[str, ...]) -> str:
         now, rows = tenths(self._manager.clock), list[dict[str, object]]()
@@ -304,6 +321,12 @@
             raise Refused("usage: set server fleet/NAME state | weight")
         return ""
 
+    def enable(self, words: tuple[str, ...]) -> str:
+        return self.set_server(("set", "server", words[2], "state", "ready"))
+
+    def disable(self, words: tuple[str, ...]) -> str:
+        return self.set_server(("set", "server", words[2], "state", "maint"))
+
     def add_server(self, words: tuple[str, ...]) -> str:
         server, address = self._name(words[2]), str(inet(words[3]))
         options = dict(zip(words[4::2], words[5::2], strict=False))
--- a/rushladder/trials/judge.py
+++ b/rushladder/trials/judge.py
@@ -63,6 +63,18 @@
         )
         return "\n".join(lines)
 
+    def steering(self) -> list[str]:
+        """How the first gateway's weights for the first product went, as a line for each collector."""
+        lines, first = list[str](), ""
+        for name, points in sorted(self.series.items()):
+            if name.startswith("weight "):
+                product, server = name.removeprefix("weight ").split("/")
+                first = first or product
+                if product == first:
+                    steps = ", ".join(f"{weight:g} at {at:.1f} s" for at, weight in points[-6:])
+                    lines.append(f"weight of {server} for {product} at the first gateway: {steps}")
+        return lines
+
 
 def load(folder: Path) -> list[dict[str, Any]]:
     """All records of a folder in the order of their time; a last line that was cut off is left out."""
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -10,7 +10,7 @@
 from rushladder.gateways.holding import Effect, Holding, Stand, Word, read_word
 from rushladder.gateways.meter import Birth, Meter, Sums, mean_of_new
 from rushladder.gateways.rounding import FULL, round_pool
-from rushladder.runtime.grammar import Command
+from rushladder.runtime.grammar import Command, csv
 
 SECOND = 10_000
 pools = st.dictionaries(st.integers(0, 30), st.floats(1e-3, 1e4), min_size=1, max_size=20)
@@ -162,37 +162,33 @@
         self.assertEqual(sum(view.stand is Stand.HOLDING for view in world.views), 1)
 
 
-def row(settled: int, mean: int, voided: int = 0) -> dict[str, str]:
-    return {
-        "pxname": "p",
-        "svname": "s",
-        "hrsp_2xx": str(settled),
-        "eresp": str(voided),
-        "stot": str(settled),
-        "ttime": str(mean),
-    }
+def row(settled: int, mean: int, voided: int = 0) -> str:
+    return csv(
+        ("pxname", "svname", "stot", "eresp", "hrsp_2xx", "ttime", "later"),
+        [("p", "s", settled, voided, settled, mean, "x")],
+    )
 
 
 class MeterStories(unittest.TestCase):
     def test_differences_and_the_first_poll_that_covers_nothing(self) -> None:
         meter, birth = Meter(), Birth("1", 0)
-        self.assertEqual(meter.poll([row(100, 50)], birth, SECOND), ({}, 0))
-        met, span = meter.poll([row(110, 60, 2)], birth, 2 * SECOND)
+        self.assertEqual(meter.poll(row(100, 50), birth, SECOND), ({}, 0))
+        met, span = meter.poll(row(110, 60, 2), birth, 2 * SECOND)
         self.assertEqual((met["p", "s"].many, met["p", "s"].voided, span), (12, 2, SECOND))
         self.assertAlmostEqual(met["p", "s"].time, (110 * 60 - 100 * 50) * 10)
 
     def test_a_restart_counts_from_the_start_and_cleared_sums_from_there(self) -> None:
         meter = Meter()
-        meter.poll([row(100, 50)], Birth("1", 0), 10 * SECOND)
-        met, span = meter.poll([row(7, 40)], Birth("2", 105_000), 11 * SECOND)
+        meter.poll(row(100, 50), Birth("1", 0), 10 * SECOND)
+        met, span = meter.poll(row(7, 40), Birth("2", 105_000), 11 * SECOND)
         self.assertEqual((met["p", "s"].many, span), (7, 5_000))
-        met, span = meter.poll([row(3, 40)], Birth("2", 105_000), 12 * SECOND)
+        met, span = meter.poll(row(3, 40), Birth("2", 105_000), 12 * SECOND)
         self.assertEqual((met["p", "s"].many, span), (3, SECOND))
 
     def test_more_in_the_new_process_than_in_the_old_is_still_a_restart(self) -> None:
         meter = Meter()
-        meter.poll([row(5, 50)], Birth("1", 0), 10 * SECOND)
-        met, _ = meter.poll([row(9, 40)], Birth("2", 100_000), 11 * SECOND)
+        meter.poll(row(5, 50), Birth("1", 0), 10 * SECOND)
+        met, _ = meter.poll(row(9, 40), Birth("2", 100_000), 11 * SECOND)
         self.assertEqual(met["p", "s"].many, 9)
 
     @settings(derandomize=True, deadline=None)
@@ -211,7 +207,7 @@
         for turn in range(200):
             for _ in range(10 if turn else 0):
                 sliding += (400.0 - sliding) / 1024
-            met, _ = meter.poll([row(2000 + 10 * turn, round(sliding))], birth, turn * SECOND)
+            met, _ = meter.poll(row(2000 + 10 * turn, round(sliding)), birth, turn * SECOND)
             time += sum(one.time for one in met.values())
         self.assertAlmostEqual(time / 1990 / 10, 400.0, delta=40.0)
 
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -178,6 +178,22 @@
         self.assertGreater(len(world.usable("g0", "ask")), 1)
 
 
+class SweepStories(unittest.TestCase):
+    def test_a_server_off_the_list_is_taken_out_of_the_gateways(self) -> None:
+        world = World(cap=60)
+        world.run(8, rate=20)
+        ctl(world.managers["m0"], "disable server fleet/s2")
+        self.assertEqual(ctl(world.managers["m0"], "del server fleet/s2"), "Server deleted.\n")
+        world.gateways["g0"].backends["pay"]["s2"].held = 1  # a txn in hand: the gateway refuses for now
+        world.run(95, rate=20)
+        self.assertNotIn("s2", world.gateways["g0"].backends["ask"])
+        self.assertIn("s2", world.gateways["g0"].backends["pay"])
+        world.gateways["g0"].backends["pay"]["s2"].held = 0
+        world.run(35, rate=20)
+        self.assertNotIn("s2", world.gateways["g0"].backends["pay"])
+        self.assertEqual(set(world.gateways["g0"].backends["ask"]) - {"s0", "s1", "s3"}, set())
+
+
 class HoldingStories(unittest.TestCase):
     def test_each_manager_holds_the_gateways_of_its_region_and_the_other_takes_over(self) -> None:
         world = World(managers=2)
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,142 @@
+"""Stories over real sockets: a manager as a process, driven by a client library and by the command line."""
+
+import contextlib
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+from haprapi import HAPRapi  # type: ignore[import-untyped]
+
+ROOT = Path(__file__).parent.parent
+PLAN = """
+manager m1
+    region a
+    probes off
+    list-file {folder}/list
+region a
+product collect
+    sla 1s
+    expiry 3s
+    revenue 9
+    repeat once-only
+gateway g1
+    region a
+    socket unix@{folder}/none
+collector c1
+    region a
+    address 127.0.0.1:7777
+listen admin
+    bind unix@{folder}/s level admin
+listen ops
+    bind 127.0.0.1:{port} level {level}
+"""
+
+
+class SocketStories(unittest.TestCase):
+    def setUp(self) -> None:
+        held = tempfile.TemporaryDirectory(prefix="rl")
+        self.addCleanup(held.cleanup)
+        self.folder = held.name
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.port = free.getsockname()[1]
+
+    def start(self, level: str = "admin") -> subprocess.Popen[str]:
+        file = Path(self.folder, "m.conf")
+        file.write_text(PLAN.format(folder=self.folder, port=self.port, level=level))
+        manager = subprocess.Popen(
+            [sys.executable, "-m", "rushladder", "run", str(file)],
+            cwd=ROOT,
+            text=True,
+            stderr=subprocess.PIPE,
+        )
+        self.addCleanup(self.end, manager)
+        until = time.monotonic() + 20
+        while not Path(self.folder, "s").exists():
+            self.assertLess(time.monotonic(), until)
+            time.sleep(0.02)
+        time.sleep(0.1)
+        return manager
+
+    def end(self, manager: subprocess.Popen[str]) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            manager.kill()
+        manager.wait()
+        if manager.stderr is not None:
+            manager.stderr.close()
+
+    def ctl(self, *words: str, lines: str = "") -> subprocess.CompletedProcess[str]:
+        return subprocess.run(
+            [sys.executable, "-m", "rushladder", "ctl", "-s", f"unix@{self.folder}/s", *words],
+            cwd=ROOT,
+            input=lines,
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=False,
+        )
+
+    def test_a_client_library_of_the_protocol_reads_and_changes_the_list(self) -> None:
+        self.start()
+        client = HAPRapi("127.0.0.1", self.port)
+        facts = {
+            row["field"]["name"]: row["value"]["value"]
+            for row in json.loads(client.send_command("show info json"))
+        }
+        self.assertEqual((facts["Node"], facts["Servers"]), ("m1", 1))
+        client.disable_server("fleet", "c1")  # it returns whether any text came back: none does
+        rows = {row["svname"]: row["status"] for row in client.get_stats() if row["pxname"] == "fleet"}
+        self.assertEqual(rows, {"c1": "MAINT"})
+        client.enable_server("fleet", "c1")
+        self.assertIn("c1 127.0.0.1 2 0", client.get_backend("fleet"))
+
+    def test_the_command_line_reads_commands_and_tells_refusals(self) -> None:
+        self.start("user")
+        done = self.ctl(lines="set server fleet/c1 weight 2.5\nshow version; show backend\n")
+        self.assertEqual((done.returncode, done.stdout), (0, "0.2.0\n# name\nfleet\ncollect\n"))
+        rows = json.loads(self.ctl("--json", "show stat").stdout)
+        self.assertEqual([row["weight"] for row in rows if row["svname"] == "c1"], ["2.5"])
+        with socket.create_connection(("127.0.0.1", self.port), 10) as wire:
+            wire.sendall(b"disable server fleet/c1\n")
+            self.assertEqual(wire.recv(100), b"Permission denied\n\n")
+        self.assertEqual(self.ctl("sing").returncode, 1)
+
+    def test_sigterm_ends_it_cleanly_and_the_list_is_there_again(self) -> None:
+        manager = self.start()
+        self.ctl("set server fleet/c1 state drain")
+        time.sleep(0.5)
+        manager.send_signal(signal.SIGTERM)
+        self.assertEqual(manager.wait(10), 0)
+        assert manager.stderr is not None
+        events = [json.loads(line)["event"] for line in manager.stderr.read().splitlines()]
+        self.assertEqual((events[0], events[-1]), ("manager.started", "manager.stopped"))
+        self.start()
+        self.assertIn(" 8 1 ", self.ctl("show servers state").stdout)
+
+    def test_a_socket_that_is_taken_is_one_line_and_exit_1(self) -> None:
+        self.start()
+        file = Path(self.folder, "other.conf")
+        file.write_text(
+            PLAN.format(folder=self.folder, port=self.port, level="user").replace("/s level", "/t level")
+        )
+        done = subprocess.run(
+            [sys.executable, "-m", "rushladder", "run", str(file)],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=False,
+        )
+        self.assertEqual(
+            (done.returncode, json.loads(done.stderr.splitlines()[-1])["event"]), (1, "manager.failed")
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
