Rule 3 in rolling releases: joins first, withdrawals ride on the beat, levels leave room

Change: withdrawals go with the beat where a message to each proxy takes a quarter of the channel's second, and wait for joiners as long as the sum of the parts stays within the grace; bindings leave out lines of servers that left; levels keep off a fifth of the room. 513 non-blank lines of policy.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -34,7 +34,7 @@
 A_SECOND = 6  # txns of a product and second at each gateway
 
 
-def gateways(folder: str, many: int, servers: int) -> None:
+def gateways(folder: str, many: int, servers: int, moving: bool) -> None:
     """The child: `many` gateways, each with txns of its own."""
     states = list[GatewayState]()
     for k in range(many):
@@ -51,7 +51,8 @@
                 for _ in range(A_SECOND):
                     line = state.pick(product) if state.lets_in(product) else None
                     if line is not None:
-                        line.settle(0.2)
+                        turn = int(reactor.seconds()) // 4 + int(line.name[1:])
+                        line.settle(0.5 if moving and turn % 2 else 0.2)
         reactor.callLater(1.0, second)
 
     second()
@@ -117,12 +118,13 @@
     warning = info
 
 
-def measure(many: int, servers: int, seconds: float, plain: bool) -> dict[str, float]:
+def measure(many: int, servers: int, seconds: float, plain: bool, moving: bool) -> dict[str, float]:
     """Runs one manager; returns CPU of a quiet and of a busy second (ms), order-to-applied times (ms),
     memory (MiB)."""
     with tempfile.TemporaryDirectory() as folder:
         # A process started afresh: one that is forked would share this one's event queue.
         command = [sys.executable, "-m", "benchmarks.fleet", str(many), str(servers), "--serve", folder]
+        command += ["--moving"] if moving else []
         child = subprocess.Popen(command)
         found = dict[str, float]()
         try:
@@ -160,6 +162,23 @@
                     beats.record_value(max(1, (time.process_time_ns() - began) // 1000))
 
             manager.core.take = timed  # type: ignore[method-assign]
+            waits: Any = HdrHistogram(
+                1, 600_000, 3
+            )  # from sums given to the module to the message they led to
+            close, message, told = manager.reports.close, manager.core.message, [0]
+
+            def closed() -> list[Any]:
+                told[0] = tenths(reactor)
+                return close()
+
+            def sent(now: int, port: Any) -> Message:
+                made = message(now, port)
+                if made.commands and len(cpu) == 1:
+                    waits.record_value(max(1, now - told[0]))
+                return made
+
+            manager.reports.close = closed  # type: ignore[method-assign]
+            manager.core.message = sent  # type: ignore[method-assign]
             reactor.callWhenRunning(manager.start)
             quiet = 12.0 + many / 40
             reactor.callLater(quiet, mark, "quiet")
@@ -177,6 +196,8 @@
                 "messages": float(histogram.get_total_count()),
                 "memory": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024,
             }
+            found["orders"] = float(waits.get_total_count())
+            found["r50"], found["r99"] = (waits.get_value_at_percentile(part) / 10 for part in (50, 99))
             found["beat"] = beats.get_max_value() / 1000
             for name, part in (("p50", 50), ("p99", 99), ("max", 100)):
                 found[name] = histogram.get_value_at_percentile(part) / 10
@@ -190,18 +211,32 @@
 @click.argument("many", type=int)
 @click.argument("servers", type=int)
 @click.option("--seconds", default=8.0)
+@click.option("--moving", is_flag=True, help="Half of the collectors slow down and recover every 4 s.")
 @click.option("--plain", is_flag=True, help="The whole table each time, one command a round trip.")
 @click.option(
     "--serve", default="", help="Serves the gateways in this folder instead (used by the command itself)."
 )
-def main(many: int, servers: int, seconds: float, plain: bool, serve: str) -> None:
+def main(many: int, servers: int, seconds: float, plain: bool, moving: bool, serve: str) -> None:
     """One row: MANY gateways, SERVERS collectors."""
     if serve:
-        return gateways(serve, many, servers)
-    got = measure(many, servers, seconds, plain)
+        return gateways(serve, many, servers, moving)
+    got = measure(many, servers, seconds, plain, moving)
     columns = [
         f"{got[name]:.1f}"
-        for name in ("held", "quiet", "beat", "busy", "p50", "p99", "max", "messages", "memory")
+        for name in (
+            "held",
+            "quiet",
+            "beat",
+            "busy",
+            "p50",
+            "p99",
+            "max",
+            "messages",
+            "memory",
+            "orders",
+            "r50",
+            "r99",
+        )
     ]
     print(f"| {many} x {servers} | {'plain' if plain else 'difference'} | {' | '.join(columns)} |")
 
--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -32,6 +32,7 @@
         super().__init__(name, zone, model, cell)
         self.size, self.standing, self.told = 1.0, Standing.LEFT, Standing.SERVING  # told: to the proxies
         self.place = self.started_at = self.out_until = self.out_for = 0  # place: among its kind in its zone
+        self.left_at = 0  # when it was learned that it drains or is gone
         self.forget()
 
     def forget(self, factor: float = 1.0, heard: int = 0) -> None:
@@ -59,13 +60,21 @@
     def __init__(self, channel: Channel, grace: int) -> None:
         self.gateways, self.pace = dict[Gateway, None](), channel.lines_per_s / SECOND
         self.lines = Lines[Gateway](channel.head + 1)  # and its mark
+        self._bound, self._travels = grace - channel.longest_way, channel.usual_way * self.pace
         # No closer than the cap's even pace, less three for its join and a late beat or two.
         self.beat = max(SECOND, channel.cap_span // max(1, (channel.message_cap or 999) - 3))
-        self.at_once = not channel.message_cap or grace < self.beat + channel.longest_way
+        self._short, self._capped = grace < self.beat + channel.longest_way, channel.message_cap > 0
         # Half the limit, as what can't be put off fits twice (rule 5), and no more than lets a withdrawal
         # behind it arrive within the grace (rule 3). What is on its way to the proxies waits no more.
-        self._most = channel.usual_way * self.pace + min(0.5 * channel.pending_max, self.pace * max(
-            0, grace - channel.longest_way - (0 if self.at_once else self.beat)))
+        self._most = self._travels + min(0.5 * channel.pending_max, self.pace * max(
+            0, self._bound - (0 if self._short or not self._capped else self.beat)))
+
+    def at_once(self) -> bool:
+        """Whether a change of the list is told as it comes. A message is mostly its head: where one to each
+        proxy takes a quarter of the channel's second, as a release may change the list each second,
+        withdrawals ride on the beat's messages (rules 3 and 5)."""
+        heads = self.lines.price(self.gateways, 0)
+        return self._short or not (self._capped or heads > 0.25 * SECOND * self.pace)
 
     def joined(self, zone: str) -> list[Gateway]:
         return [gateway for gateway in self.gateways if gateway.zone == zone]
@@ -75,6 +84,12 @@
         waiting = self.lines.waiting + self.lines.price(gateways, count)
         return not self.lines.waiting or waiting <= part * self._most
 
+    def presses(self, waited: int, holders: Collection[Gateway]) -> bool:
+        """Whether an order that can wait for the grace has to go now: what has passed, one more beat, the
+        queue before it with its own lines, and the longest way would exceed the grace (rule 3)."""
+        queue = max(0, self.lines.waiting - self._travels + self.lines.price(holders)) / self.pace
+        return waited + self.beat + queue >= self._bound
+
     def left(self, gateway: Gateway) -> None:
         self.lines.left(gateway)
         for holders in (self.gateways, *(table.gateways for table in gateway.tables)):
@@ -117,9 +132,14 @@
             effect(self, server)
 
     def _reset(self, server: Server) -> None:
-        server.out_until = server.out_for = 0
+        server.out_until = server.out_for = server.left_at = 0
         server.forget()
 
+    def _leave(self, server: Server) -> None:
+        left_at = server.left_at or self._host.now()
+        self._reset(server)
+        server.left_at = left_at
+
     def _exclude(self, server: Server) -> None:
         # 4 s at first, shorter than most troubles last; doubled at a relapse, as failed trials cost txns.
         again = server.out_for * (self._host.now() < server.out_until + 30 * SECOND)
@@ -189,7 +209,7 @@
     (Standing.OUT, Sign.SOUND): (Standing.SERVING, Fleet._try_out),
     (Standing.OUT, Sign.REACHED): (Standing.SERVING, Fleet._reset),
     **{(standing, Sign.STARTED): (Standing.SERVING, Fleet._reset) for standing in Standing},
-    **{(standing, Sign.LEAVING): (Standing.LEFT, Fleet._reset) for standing in Standing},
+    **{(standing, Sign.LEAVING): (Standing.LEFT, Fleet._leave) for standing in Standing},
 }
 
 
@@ -367,6 +387,9 @@
             key = gateway.zone, gateway.team
             if key not in self._tables or (not self._tables[key][0].gateways and self._paid < ready):
                 self.refresh()  # not planned of late: it could bind a joiner to no line (rule 1)
+            joiners = sum(not g.tables and (g.zone, g.team) == key for g in self._outbox.gateways)
+            for table in self._tables[key]:
+                self._leave_out(table, joiners)
             cost = sum(1 + len(table.lines) + len(table.gates) for table in self._tables[key])
             if self._outbox.has_room([gateway], cost):
                 gateway.tables = self._tables[key]
@@ -375,6 +398,15 @@
                     table.gateways[gateway] = None
                     self._host.bind(gateway, table.number, table.products)
 
+    def _leave_out(self, table: Table, joiners: int) -> None:
+        """A line of a server that left, and its withdrawal, cost two lines at each joiner, and one to take
+        out at each who is bound: bindings leave them out where that is less, for shorter joins (rule 3)."""
+        left = [server for server in table.lines if server.standing is Standing.LEFT]
+        for server in left if len(table.gateways) <= 2 * joiners and len(left) < len(table.lines) else ():
+            del table.lines[server]
+            self._host.weigh(table.number, server, 0.0)
+            self._outbox.lines.add(table.gateways)
+
     def refresh(self) -> None:
         for key in [(zone, team) for zone in self._zones for team in range(self._teams(zone))]:
             self._tables.setdefault(key, [Table(len(self._tables) * len(self._groups) + k, *key, group)
@@ -385,11 +417,15 @@
 
     def _withdraw(self) -> None:
         # A joiner heeds these withdrawals once it is bound, so binding goes before what can wait (rule 3).
+        joining = any(not gateway.tables for gateway in self._outbox.gateways)
         for server in [server for server in self._fleet.servers if server.standing is not server.told]:
             holders = [gateway for gateway in self._outbox.gateways
                        if any(server in table.lines for table in gateway.tables)]
             # A sick one waits for room too, a release also for that of its weight's lines (rule 4).
             urgent = server.standing is Standing.LEFT and server.told is Standing.SERVING
+            # Joiners heed it no sooner than they are bound, so they go first as long as it can wait (rule 3).
+            if urgent and joining and not self._outbox.presses(self._host.now() - server.left_at, holders):
+                continue
             if urgent or self._outbox.has_room(holders, 3 if server.standing is Standing.SERVING else 1, 0.6):
                 self._host.hold_back(server, server.standing is not Standing.SERVING)
                 self._outbox.lines.add(holders)
@@ -448,9 +484,10 @@
         for table in [table for tables in self._tables.values() for table in tables]:
             for product in table.products:
                 figure, before = self._figure(table, product), table.gates.get(product, 0.0)
-                # The last step to full always goes out: held back as small, it would decline for good.
+                # The last step to full always goes out: held back as small, it would decline for good. A
+                # fifth of the room is kept: levels of each beat left a table without a line (rule 1).
                 differs = abs(figure - before) > 0.1 * before or before < 1 <= figure
-                if differs and self._outbox.has_room(table.gateways):
+                if differs and self._outbox.has_room(table.gateways, 1, 0.8):
                     # No try after one that may have run: rule 2, and lost proxies would feed jams.
                     self._host.gate(table.number, [product], figure, Retry.UNSENT)
                     self._outbox.lines.add(table.gateways)
@@ -534,7 +571,7 @@
             wait = min(self._ask_within // 4, SECOND // 4 << min(self._failures, 7))
             return self._host.wake(1 + int(wait * (0.5 + self._draw())), self.ASK)
         self._fleet.listing(event)
-        if self._outbox.at_once:  # else at the beat: a message for each of many changes would pass the cap
+        if self._outbox.at_once():  # else at the beat: a message for each of many changes would pass the cap
             self._tables.refresh()
 
     def _reminder(self, event: Reminder) -> None:
--- a/rushladder/trials/charts.py
+++ b/rushladder/trials/charts.py
@@ -22,6 +22,7 @@
         ("service", "service", "revenue settled in time / asked for"),
         ("levels", "level ", "let in"),
         ("weights", "weight ", "weight (0 to 256)"),
+        ("lines", "waiting ", "lines owed and unanswered"),
     ):
         figure, axes = pyplot.subplots(figsize=(9, 4))
         plotted = False
--- a/rushladder/trials/judge.py
+++ b/rushladder/trials/judge.py
@@ -324,6 +324,8 @@
     found = defaultdict[str, list[tuple[float, float]]](list)
     first = min((row["who"] for row in rows if row["ev"] == "gateway"), default="")
     for row in rows:
+        if row["ev"] == "waits":
+            found[f"waiting {row['manager']}"].append((row["t"] - begins, float(row["lines"])))
         if row["ev"] != "cmd" or row["t"] > ends:
             continue
         words, at = row["words"], max(0.0, row["t"] - begins)
--- a/rushladder/trials/play.py
+++ b/rushladder/trials/play.py
@@ -15,7 +15,7 @@
 
 from rushladder.cli.main import ask
 from rushladder.conf.grammar import Address
-from rushladder.runtime.grammar import Command, split
+from rushladder.runtime.grammar import Command, fields, split
 from rushladder.standins.record import Record
 from rushladder.trials.day import Asked, Day, Happening, Site
 
@@ -46,6 +46,7 @@
         self._port = {site.name: next(ports) for site in (*day.collectors, *day.gateways, *day.managers)}
         self._todo = list[tuple[float, int, Callable[[], None]]]()
         self._zero = 0.0
+        self._still = set[str]()  # processes that are killed or stopped just now
         self._listed = {site.name: "maint" if site.absent else "ready" for site in day.collectors}
 
     # Files.
@@ -178,6 +179,7 @@
             self._processes[name] = subprocess.Popen(
                 self._commands[name], stdin=subprocess.DEVNULL, stdout=log, stderr=log
             )
+        self._still.discard(name)
         self._record.note("process", name=name, what="start")
 
     def _signal(self, name: str, number: signal.Signals) -> None:
@@ -186,12 +188,24 @@
             process.send_signal(number)
             if number is signal.SIGKILL:
                 process.wait()
+            (self._still.discard if number is signal.SIGCONT else self._still.add)(name)
             self._record.note("process", name=name, what=number.name)
 
-    def _tell(self, control: str, text: str) -> list[str]:
+    def _sample(self) -> None:
+        """What waits in each manager's channels, by its own word; for the charts, never for a verdict."""
+        self._later(0.5, self._sample)
+        for manager in self.day.managers if self._steered else ():
+            if manager.name not in self._still:
+                answers = self._tell(manager.name + ".sock", "show info", 0.3)
+                facts = fields(answers[0]) if answers else {}
+                if "LinesOwed" in facts:
+                    waits = int(facts["LinesOwed"]) + int(facts["LinesSent"])
+                    self._record.note("waits", manager=manager.name, lines=waits)
+
+    def _tell(self, control: str, text: str, patience: float = 3.0) -> list[str]:
         commands = [Command(words) for words in split(text)]
         try:
-            return ask(Address(path=self._path(control)), commands, 3.0)
+            return ask(Address(path=self._path(control)), commands, patience)
         except OSError as trouble:
             self._record.note("untold", control=control, text=text, why=str(trouble))
             return []
@@ -369,6 +383,7 @@
             self._record.note("day", what="begins")
             for happening in self.day.happenings:
                 self._happen(happening)
+            self._sample()
             while (now := time.monotonic() - self._zero) < self.day.length:
                 due = sorted(item for item in self._todo if item[0] <= now)
                 self._todo = [item for item in self._todo if item[0] > now]
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -12,6 +12,7 @@
     def test_a_server_that_drains_is_withdrawn_at_once_and_joiners_are_bound_at_once(self) -> None:
         host = FakeHost()
         host.join(*host.gateways[:2])
+        host.run(1)
         gone = host.servers[0]
         self.assertIn((gone, True), host.named("hold_back", host.roster(
             ListKind.CHANGES, gone, state=Availability.DRAINING)))
@@ -20,9 +21,36 @@
         self.assertTrue(any(gateway is host.gateways[2] for gateway, _, _ in bound))
         self.assertEqual([out for server, out in host.named("hold_back") if server is gone][-1], True)
 
+    def test_withdrawals_wait_for_a_fleet_that_joins_as_long_as_the_grace_lets_them(self) -> None:
+        host = FakeHost(servers=40, gateways=80, pending=600.0)
+        host.join(*host.gateways[:40])
+        host.run(2)
+        host.applies = False  # the channel is full, and drains no more
+        host.join(*host.gateways[40:])
+        gone, told = host.servers[:12], host.clock
+        host.roster(ListKind.CHANGES, *gone, state=Availability.GONE)
+        host.run(1)
+        bound = {gateway for gateway, _, _ in host.named("bind")}
+        self.assertTrue(40 < len(bound) < 80)
+        # Joiners first: what is under way to them would be late behind withdrawals, which can wait.
+        self.assertFalse(host.named("hold_back"))
+        while not host.named("hold_back"):
+            host.run(1)
+            self.assertLess(host.clock, told + 40_000 - 5_000)  # the grace less the longest way
+        self.assertEqual({server for server, out in host.named("hold_back") if out}, set(gone))
+
+    def test_in_a_large_fleet_withdrawals_ride_on_the_beat(self) -> None:
+        host = FakeHost(servers=24, gateways=300, pending=9000.0)
+        host.join()
+        host.run(3)
+        self.assertFalse(host.named("hold_back", host.roster(
+            ListKind.CHANGES, host.servers[0], state=Availability.DRAINING)))
+        self.assertIn((host.servers[0], True), host.named("hold_back", host.run(2)))
+
     def test_a_server_missing_from_a_whole_list_is_gone(self) -> None:
         host = FakeHost()
         host.join()
+        host.run(1)
         self.assertIn((host.servers[0], True), host.named("hold_back", host.roster(
             ListKind.FULL, *host.servers[1:])))
 
@@ -262,6 +290,19 @@
         host.run(3)
         self.assertTrue(set(host.lines(0)) - set(lost))
 
+    def test_levels_leave_room_for_joiners_and_for_tables_without_a_line(self) -> None:
+        host = FakeHost(servers=24, gateways=46, zones=("a",), pending=1600.0)
+        host.join(*host.gateways[:40])
+        host.run(8)
+        host.applies = False
+        host.slow = dict.fromkeys(host.servers, 4.0)
+        for k in range(30):  # levels that change with each beat fill what they may
+            host.per_second = 30 + 25 * (k % 2)
+            host.run(1)
+        host.join(*host.gateways[40:])
+        bound = {gateway for gateway, _, _ in host.named("bind", host.run(1))}
+        self.assertTrue(bound.issuperset(host.gateways[40:]))
+
     def test_joins_and_list_changes_cost_the_others_no_message_above_their_cap(self) -> None:
         host = FakeHost(cap=12)
         host.join()
--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -75,6 +75,7 @@
     st.one_of(
         st.tuples(st.just("run"), st.sets(st.integers(0, 2)), st.integers(1, 7)),
         st.tuples(st.just("restart"), st.integers(0, 2), st.just(0)),
+        st.tuples(st.just("torn"), st.integers(0, 2), st.just(0)),
         st.tuples(st.just("wipe"), st.just(0), st.just(0)),
         st.tuples(st.just("slow"), st.integers(0, 2), st.integers(1, 30_000)),
         st.tuples(st.just("cut"), st.integers(0, 2), st.just(0)),
@@ -151,6 +152,10 @@
             elif isinstance(who, int):
                 if name == "restart":
                     world.views[who] = world.view(who)
+                elif name == "torn":  # it dies between reading and writing
+                    before = world.word
+                    world.poll(who)
+                    world.word, world.views[who] = before, world.view(who)
                 elif name == "slow":
                     world.poll(who, delay=many)
                 else:
