--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -11,6 +11,8 @@
 
 from rushladder.guard.admission import Admission, Close, Gate, Line, Open, Part, Reason, Verdict
 from rushladder.guard.book import Book, Pool, Server, open_to
+from rushladder.guard.history import KEPT, History
+from rushladder.guard.waves import Arm, Effect, Stage, Wave
 from rushladder.interface import Product, Repeat
 
 CORPUS = Path(__file__).parent / "guard.corpus"
@@ -350,5 +352,92 @@
             self.assertTrue(wrong(Broken), more)
 
 
+class WaveStories(unittest.TestCase):
+    SLA = 20_000.0
+
+    def arm(self, draw: Random, many: int, bad: float, mean: float = 2_000.0) -> Arm:
+        voided = sum(draw.random() < bad for _ in range(many))
+        return Arm(many, voided, mean * (many - voided), self.SLA)
+
+    def play(
+        self, seed: int, changed_bad: float, other_bad: float, mean: float = 2_000.0
+    ) -> tuple[Wave, list[Effect]]:
+        draw, wave, effects = (
+            Random(seed),
+            Wave(1, [f"g{k}" for k in range(10)], other_bad, 0),
+            list[Effect](),
+        )
+        for second in range(1, 240):
+            many = 8 * len(wave.changed)
+            effects.append(
+                wave.period(
+                    [self.arm(draw, many, changed_bad, mean)],
+                    [self.arm(draw, 80 - many, other_bad)],
+                    second * SECOND,
+                )
+            )
+            if wave.over:
+                break
+        return wave, effects
+
+    def test_a_good_change_widens_to_all_and_stands(self) -> None:
+        wave, effects = self.play(1, 0.02, 0.02)
+        self.assertEqual(
+            [effect for effect in effects if effect is not Effect.NONE],
+            [Effect.WIDEN, Effect.WIDEN, Effect.FINISH],
+        )
+        self.assertEqual((wave.stage, len(wave.changed)), (Stage.DONE, 10))
+
+    def test_a_bad_change_is_taken_back_from_its_first_gateways(self) -> None:
+        wave, effects = self.play(1, 0.3, 0.02)
+        self.assertEqual([effect for effect in effects if effect is not Effect.NONE], [Effect.UNDO])
+        self.assertLess(len(effects), 10)
+        self.assertGreater(wave.watch.sureness(), 0.98)
+
+    def test_a_slow_pool_is_taken_back_though_nothing_voids(self) -> None:
+        wave, _ = self.play(1, 0.0, 0.0, mean=9_000.0)
+        self.assertIs(wave.stage, Stage.UNDONE)
+
+    def test_trouble_that_strikes_all_gateways_alike_is_not_laid_to_the_change(self) -> None:
+        self.assertIs(self.play(3, 0.3, 0.3)[0].stage, Stage.DONE)
+
+    def test_without_txns_it_holds_and_in_the_end_goes_back(self) -> None:
+        wave, effects = Wave(1, ["g1", "g2"], 0.01, 0), list[Effect]()
+        for second in range(1, 80):
+            effects.append(wave.period([], [], second * SECOND))
+        self.assertEqual(
+            [effect for effect in effects if effect is not Effect.NONE], [Effect.HOLD, Effect.UNDO]
+        )
+
+    def test_the_wrong_verdicts_are_as_rare_as_stated(self) -> None:
+        good = sum(self.play(seed, 0.02, 0.02)[0].stage is Stage.UNDONE for seed in range(60))
+        bad = sum(self.play(seed, 0.09, 0.02)[0].stage is Stage.DONE for seed in range(60))
+        self.assertLessEqual(good, 4)
+        self.assertLessEqual(bad, 4)
+
+    def test_a_gateway_that_is_lost_leaves_the_wave(self) -> None:
+        wave = Wave(1, ["g1", "g2", "g3"], 0.01, 0)
+        wave.lost("g1")
+        self.assertEqual(wave.changed, ["g2"])
+
+
+class HistoryStories(unittest.TestCase):
+    def test_versions_have_numbers_parents_and_differences(self) -> None:
+        history = History()
+        history.accept("ops", "less for c1", {("pay", "c1"): 0.5}, 1)
+        history.accept("ops", "and c2", {("pay", "c1"): 0.5, ("ask", "c2"): 2.0}, 2)
+        self.assertEqual([(v.number, v.parent) for v in history.all()], [(0, 0), (1, 0), (2, 1)])
+        self.assertEqual(history.diff(1, 2), [(("ask", "c2"), 1.0, 2.0)])
+        self.assertEqual(history.back(2, "taken back: worse").number, 1)
+        self.assertRaises(KeyError, history.diff, 1, 9)
+
+    def test_a_runaway_script_forgets_the_oldest_and_never_what_stands(self) -> None:
+        history = History()
+        for turn in range(1000):
+            history.accept("script", "", {("pay", "c1"): 1.0 + turn}, turn)
+        self.assertLessEqual(len(history.all()), KEPT)
+        self.assertEqual(history[history.current].factors, {("pay", "c1"): 1000.0})
+
+
 if __name__ == "__main__":
     unittest.main()
