Table guard wired in: own orders judged, operators' factors in waves, history and rollback

Cause: the guard has to stand between every order and the gateways. Change: guard/warden.py keeps the book true to what the core holds; a table that is refused leaves the last good one in force and is a fault of ours; set weight, prepare/add/commit table, show table history|diff|refused, show wave and rollback to over the runtime API; collectors may state a limit and connections. Result: six whole-path stories: a fatal table refused with its reason, a good one widened from one gateway to all and rolled back, a slow pool taken back after at most four gateways, drains that wait for nothing, an own bad order caught.

--- a/rushladder/conf/objects.py
+++ b/rushladder/conf/objects.py
@@ -40,7 +40,7 @@
 
 @attrs.frozen
 class CollectorSite:
-    """A collector as first listed."""
+    """A collector as first listed. limit: txns a second from this manager's gateways; 0: none stated."""
 
     name: str
     region: str
@@ -48,6 +48,8 @@
     size: float
     address: Address
     cell: int = 0
+    limit: float = 0.0
+    connections: int = 0
 
 
 @attrs.frozen
--- a/rushladder/conf/reader.py
+++ b/rushladder/conf/reader.py
@@ -132,6 +132,8 @@
             "model": Directive((name,), usage="model NAME"),
             "size": Directive((number(0.001, 1000),), usage="size NUMBER"),
             "cell": Directive((whole(0, 65_535),), usage="cell NUMBER"),
+            "limit": Directive((number(0.1, 1e6, "/s"),), usage="limit RATE/s"),
+            "connections": Directive((whole(1, 10_000_000),), usage="connections COUNT"),
         }
     ),
     "peer": Section({"address": Directive((inet,), needed=True, usage="address ADDRESS:PORT")}),
@@ -419,6 +421,8 @@
                 s.one("size", 1.0),
                 s.one("address"),
                 s.one("cell", 0),
+                s.one("limit", 0.0),
+                s.one("connections", 0),
             )
             for s in of("collector")
         ),
--- a/rushladder/core/host.py
+++ b/rushladder/core/host.py
@@ -10,8 +10,9 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from itertools import count
+from random import Random
 from typing import Any
 
 import attrs
@@ -21,8 +22,11 @@
 from rushladder.core.roster import Roster
 from rushladder.gateways.difference import Admin, Held, Key, Line, server_commands, sweep_commands
 from rushladder.gateways.rounding import round_pool
+from rushladder.guard.warden import Warden
+from rushladder.guard.waves import Arm, Effect
 from rushladder.interface import (
     Applied,
+    Availability,
     Channel,
     Event,
     Guarantee,
@@ -42,27 +46,48 @@
 
 
 class Tbl:
-    """One shared table as ordered, and the whole weights its gateways get; rounded once for all of them."""
+    """One shared table: its lines as ordered, those the guard let through, and the whole weights from
+    them."""
 
-    def __init__(self) -> None:
-        self.lines = dict[Server, float]()
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.lines, self.good = dict[Server, float](), dict[Server, float]()
         self.gates = dict[Product, tuple[float, Retry]]()
         self.ports = dict[Port, None]()
-        self._rounded, self._scale, self._stale = dict[Server, int](), 0.0, True
+        self._rounded, self._scales = dict[tuple[Product, int], dict[Server, int]](), dict[Product, float]()
 
     def weigh(self, server: Server, weight: float) -> None:
-        self._stale = True
-        if weight > 0:
+        if weight:  # whatever it is: a bad figure is for the guard to refuse
             self.lines[server] = weight
         else:
             self.lines.pop(server, None)
 
-    def rounded(self, ramp: Callable[[Server], float]) -> dict[Server, int]:
-        if self._stale:
-            cold = {server for server in self.lines if ramp(server) < 1}
-            self._rounded, self._scale = round_pool(self.lines, cold, self._scale)
-            self._stale = False
-        return self._rounded
+    def accept(self) -> None:
+        """The lines as ordered stand from now on."""
+        self.good = dict(self.lines)
+        self._rounded.clear()
+
+    def rounded(
+        self,
+        product: Product,
+        version: int,
+        factor: Callable[[str, str, int | None], float],
+        ramp: Callable[[Server], float],
+    ) -> dict[Server, int]:
+        """The whole weights of a product's lines under a version of the operators' factors; kept until
+        they change."""
+        found = self._rounded.get((product, version))
+        if found is None:
+            lines = {
+                server: weight * factor(product.name, server.name, version)
+                for server, weight in self.good.items()
+            }
+            cold = {server for server in lines if ramp(server) < 1}
+            found, scale = round_pool(lines, cold, self._scales.get(product, 0.0))
+            self._scales[product] = scale
+            self._rounded = {key: kept for key, kept in self._rounded.items() if key[1] >= version - 1}
+            self._rounded[product, version] = found
+        return found
 
 
 class Port:
@@ -122,6 +147,8 @@
         self._now, self.roster, self.products, self._channel = now, roster, products, channel
         self._unit, self._cold_time = level_unit, guarantee.cold_time
         self._tables, self.withdrawn = dict[int, Tbl](), dict[Server, None]()
+        self.warden, self._changed = Warden(Random(seed).random), dict[Tbl, None]()
+        self._cold_from = guarantee.cold_from
         self.ports = dict[Gateway, Port]()
         self._touched, self._ready = dict[Port, None](), dict[Port, None]()
         self._wakes, self._order = list[tuple[int, int, int]](), count()
@@ -141,6 +168,8 @@
             may_tell=managers > 1,
             slices=0,
         )
+        for listed in roster.listed.values():
+            self._known(listed.server)
         self.take(now, roster.full(ListKind.CACHED))
 
     # What comes in.
@@ -155,6 +184,7 @@
             if isinstance(event, Listing):
                 self._listing(event)
         self.manager.close()
+        self._judge()
         self._ready |= self._touched
         self._touched.clear()
 
@@ -177,6 +207,7 @@
     def left(self, gateway: Gateway) -> None:
         port = self.ports.pop(gateway, None)
         if port is not None:
+            self.warden.left(gateway.name)
             self._touched.pop(port, None)
             self._ready.pop(port, None)
             for tbl in port.tables.values():
@@ -191,7 +222,86 @@
             port.owe(product)
         port.gates_owed = bool(port.tables)
 
+    def _judge(self) -> None:
+        """Each table that changed passes the guard whole, or stays as it was."""
+        changed, self._changed = self._changed, {}
+        for table in changed:
+            products = list(
+                dict.fromkeys(p for port in table.ports for p, own in port.tables.items() if own is table)
+            )
+            if not products:
+                table.accept()  # nobody uses it yet: it is judged once somebody is bound to it
+                continue
+            lines = {
+                server.name: weight
+                for server, weight in table.lines.items()
+                if server.name in self.warden.book.servers
+            }
+            zone = next(iter(table.ports)).gateway.zone
+            if self.warden.table(str(table.number), products, zone, lines, self._now) is None:
+                table.accept()
+
+    def tell_demand(self) -> None:
+        """The guard hears what comes to each table, as the module has measured it."""
+        sums = dict[tuple[Tbl, Product], float]()
+        for port in self.ports.values():
+            for product, table in port.tables.items():
+                many, covers = port.gateway.came[product].total(self._now, 4)
+                rate = 10_000 * many / covers if covers else port.gateway.usual_rate / len(self.products)
+                level = (
+                    table.gates.get(product, (1.0, Retry.UNSENT))[0] if self._unit is LevelUnit.RATIO else 1.0
+                )
+                sums[table, product] = sums.get((table, product), 0.0) + min(1.0, level) * rate
+        for (table, product), rate in sums.items():
+            zone = next(iter(table.ports)).gateway.zone
+            self.warden.demand(str(table.number), product, zone, rate, self._now)
+
+    def watch_wave(self, met: Mapping[str, Sequence[Arm]]) -> Effect:
+        """A period of the wave that is out; gateways that its verdict concerns are owed their lines."""
+        effect = self.warden.period(met, self._now)
+        if effect in (Effect.WIDEN, Effect.UNDO):
+            self.owe_all()
+        return effect
+
+    def using(self, keys: Collection[tuple[str, str]]) -> list[str]:
+        """The gateways whose tables name one of the (product, server) pairs."""
+        found = list[str]()
+        for port in self.ports.values():
+            names = {
+                (product.name, server.name) for product, table in port.tables.items() for server in table.good
+            }
+            if not names.isdisjoint(keys):
+                found.append(port.gateway.name)
+        return found
+
+    def owe_all(self) -> None:
+        """Every gateway's lines may differ from what it holds; a message is only sent where they do."""
+        for port in self.ports.values():
+            for product in port.tables:
+                port.owe(product)
+            self._ready[port] = None
+
+    def _known(self, server: Server) -> None:
+        """The guard's view of a server."""
+        listed = self.roster.listed.get(server.name)
+        if listed is None or listed.server is not server:
+            return self.warden.forget(server.name)
+        ready = listed.availability is Availability.READY and server not in self.withdrawn
+        self.warden.server(
+            server.name,
+            server.zone,
+            server.model,
+            limit=listed.limit,
+            connections=listed.connections,
+            ready=ready,
+            started_at=listed.started_at,
+            cold_time=self._cold_time,
+            cold_from=self._cold_from,
+        )
+
     def _listing(self, event: Listing[Any]) -> None:
+        for entry in event.entries:
+            self._known(entry.worker)
         known = {entry.worker for entry in event.entries}
         for server in [
             server
@@ -212,7 +322,8 @@
         """The lines that the gateway should hold for a product, with 0 for what it holds beyond its table."""
         tbl = port.tables[product]
         lines = dict[Key, Line]()
-        for server, weight in tbl.rounded(self.ramp).items():
+        version = self.warden.version_of(port.gateway.name)
+        for server, weight in tbl.rounded(product, version, self.warden.factor, self.ramp).items():
             listed = self.roster.listed.get(server.name)
             if listed is not None and listed.server is server:
                 lines[product.name, server.name] = Line(
@@ -291,7 +402,7 @@
                     port.owe(product, urgent)
 
     def _table(self, number: int) -> Tbl:
-        return self._tables.setdefault(number, Tbl())
+        return self._tables.setdefault(number, Tbl(number))
 
     def now(self) -> int:
         return self._now
@@ -300,6 +411,7 @@
         assert isinstance(worker, Server)
         table = self._table(tbl)
         table.weigh(worker, weight)
+        self._changed[table] = None
         self._owe(table)
 
     def empty(self, tbl: int) -> None:
@@ -307,6 +419,7 @@
         for server in list(table.lines):
             table.weigh(server, 0.0)
         table.gates.clear()
+        self._changed[table] = None
         self._owe(table)
 
     def bind(self, proxy: Proxy, tbl: int, products: Sequence[Product]) -> None:
@@ -322,6 +435,7 @@
                 before.ports.pop(port, None)
             port.owe(product, urgent=True)
         table.ports[port] = None
+        self._changed[table] = None
         port.gates_owed = True
 
     def hold_back(self, worker: Worker, out: bool) -> None:
@@ -330,6 +444,7 @@
             self.withdrawn[worker] = None
         else:
             self.withdrawn.pop(worker, None)
+        self._known(worker)
         for table in self._tables.values():
             if worker in table.lines:
                 self._owe(table, urgent=out)
@@ -342,7 +457,9 @@
     def gate(self, tbl: int | None, products: Sequence[Product], level: float, retry: Retry) -> None:
         for table in self._tables.values() if tbl is None else (self._table(tbl),):
             for product in products or self.products:
-                table.gates[product] = level, retry
+                zone = next(iter(table.ports)).gateway.zone if table.ports else ""
+                if self.warden.gate(str(table.number), product, zone, level, int(retry), self._now) is None:
+                    table.gates[product] = level, retry
             for port in table.ports:
                 self._touched[port] = None
                 port.gates_owed = True
--- a/rushladder/core/reports.py
+++ b/rushladder/core/reports.py
@@ -6,6 +6,7 @@
 
 from rushladder.brain import Gateway, Server
 from rushladder.gateways.meter import Met
+from rushladder.guard.waves import Arm
 from rushladder.interface import Arrivals, Event, Product, Tries
 
 
@@ -15,6 +16,22 @@
     def __init__(self) -> None:
         self._sums = dict[tuple[Server, str], list[float]]()
         self._came = dict[tuple[Gateway, Product], list[float]]()
+        self._met = dict[tuple[str, Product], Arm]()
+
+    def met(self, gateway: Gateway, product: Product, many: float, voided: float, time: float) -> None:
+        """What a gateway met for a product, for the watch of waves."""
+        old = self._met.get((gateway.name, product), Arm())
+        self._met[gateway.name, product] = Arm(
+            old.many + many, old.voided + voided, old.time + time, float(product.sla_time)
+        )
+
+    def take_met(self) -> dict[str, list[Arm]]:
+        """By gateway, since this was last called."""
+        found = dict[str, list[Arm]]()
+        for (name, _), arm in self._met.items():
+            found.setdefault(name, []).append(arm)
+        self._met.clear()
+        return found
 
     def add(
         self, gateway: Gateway, tries: Mapping[Server, Met], came: Mapping[Product, Met], span: int
--- a/rushladder/core/roster.py
+++ b/rushladder/core/roster.py
@@ -27,6 +27,8 @@
     size: float
     availability: Availability
     started_at: int
+    limit: float = 0.0  # txns a second, stated; 0: none
+    connections: int = 0
 
 
 class Roster:
@@ -42,7 +44,16 @@
         return self.listed[name]
 
     def add(
-        self, name: str, region: str, model: str, size: float, address: str, started_at: int, cell: int = 0
+        self,
+        name: str,
+        region: str,
+        model: str,
+        size: float,
+        address: str,
+        started_at: int,
+        cell: int = 0,
+        limit: float = 0.0,
+        connections: int = 0,
     ) -> None:
         """A new collector, ready. The same again changes nothing. Raises NoSuch if the name means another
         one."""
@@ -53,7 +64,13 @@
             if any(other.address == address for other in self.listed.values()):
                 raise NoSuch("Another server has this address.")
             self.listed[name] = Listed(
-                Server(name, region, model, cell), address, size, Availability.READY, started_at
+                Server(name, region, model, cell),
+                address,
+                size,
+                Availability.READY,
+                started_at,
+                limit,
+                connections,
             )
             self.version += 1
         elif (known.server.zone, known.server.model, known.address) != (region, model, address):
--- a/rushladder/gateways/driver.py
+++ b/rushladder/gateways/driver.py
@@ -265,6 +265,8 @@
             if name == "BACKEND" and backend in self._products:
                 came[self._products[backend]] = met
             elif listed is not None:
+                if span and backend in self._products:
+                    self._reports.met(self.gateway, self._products[backend], met.many, met.voided, met.time)
                 old = tries.get(listed.server)
                 tries[listed.server] = (
                     met
--- a/rushladder/guard/admission.py
+++ b/rushladder/guard/admission.py
@@ -209,7 +209,8 @@
     ) -> tuple[Part, tuple[Reason, str, str]] | None:
         """What is wrong with the book as the group leaves it, with the part that is to blame."""
         for pool, (many, top) in before.items():
-            for look in POOL_LOOKS:
+            # How much one server of a pool gets is the module's to decide; that a pool is not empty is not.
+            for look in POOL_LOOKS[:1] if trusted else POOL_LOOKS:
                 if found := look(self, pool, many, top, now):
                     return self._blame(group, pool), found
         stale = not trusted and (self.demand_at is None or now - self.demand_at > FRESH)
@@ -222,11 +223,22 @@
                     "no demand was heard for 10 s",
                     "the same again after a report",
                 )
+            if trusted and self._eases(now):
+                continue
             for measure in SERVER_LOOKS:
                 if found := measure(self, server, now):
                     return self._blame(group, None, server), found
         return None
 
+    def _eases(self, now: int) -> bool:
+        """Whether the worst of the servers touched is no worse off than the worst was before: where all are
+        over their limits, moving load between them is what the module is there for."""
+        touched = [(server, load) for server, load in self.book.touched_servers.items() if server.limit]
+        after = max((server.load / (server.limit * server.ramp(now)) for server, _ in touched), default=0.0)
+        return after <= 1.001 * max(
+            (load / (server.limit * server.ramp(now)) for server, load in touched), default=0.0
+        )
+
     def _blame(self, group: Group, pool: Pool | None, server: Server | None = None) -> Part:
         for part in group:
             if server is not None and getattr(part, "server", None) == server.name:
--- a/rushladder/guard/book.py
+++ b/rushladder/guard/book.py
@@ -65,6 +65,10 @@
         weight = self.lines.get(server, 0.0)
         return weight / self.usable if server.ready and self.usable > 0 else 0.0
 
+    def parts_now(self) -> dict[str, float]:
+        """Txns a second to each server, by name."""
+        return {server.name: self.demand * self.share(server) for server in self.lines}
+
 
 class Book:
     """All pools and servers, with a journal of what was changed since the last `keep`."""
--- a/rushladder/service/api.py
+++ b/rushladder/service/api.py
@@ -10,12 +10,15 @@
 from rushladder.core.host import LEVELS_MAP, RETRIES_MAP
 from rushladder.core.roster import NoSuch
 from rushladder.gateways.difference import Admin
+from rushladder.guard.history import Version
+from rushladder.guard.warden import Denied
 from rushladder.interface import Availability
 from rushladder.runtime.endpoint import Level, Refused, Verb, Verbs
 from rushladder.runtime.grammar import Command, csv
 from rushladder.service.manager import Manager
 from rushladder.timing import TENTHS, tenths
 
+PREPARED_MOST, LINES_MOST = 16, 20_000  # versions begun and not committed; 20 products x 1,000 servers
 FLEET = "fleet"  # the backend that stands for all collectors
 STATES = {"ready": Availability.READY, "drain": Availability.DRAINING, "maint": Availability.GONE}
 STATUS = {Availability.READY: "UP", Availability.DRAINING: "DRAIN", Availability.GONE: "MAINT"}
@@ -88,6 +91,30 @@
                     "set server fleet/NAME state ready|drain|maint ; set server fleet/NAME weight SIZE",
                     api.set_server,
                 ),
+                (
+                    "show table history",
+                    Level.OPERATOR,
+                    "show table history : versions of the factors",
+                    api.history,
+                ),
+                ("show table diff", Level.OPERATOR, "show table diff A B : factors that differ", api.diff),
+                (
+                    "show table refused",
+                    Level.OPERATOR,
+                    "show table refused : changes refused, and why",
+                    api.refused,
+                ),
+                ("show wave", Level.OPERATOR, "show wave : the change on its way", api.wave),
+                (
+                    "set weight",
+                    Level.ADMIN,
+                    "set weight PRODUCT/SERVER PERCENT% : times the decided",
+                    api.weight,
+                ),
+                ("prepare table", Level.ADMIN, "prepare table : a new version to fill", api.prepare),
+                ("add table", Level.ADMIN, "add table @V PRODUCT/SERVER PERCENT%", api.add_line),
+                ("commit table", Level.ADMIN, "commit table @V [WHY...] : judged, then in waves", api.commit),
+                ("rollback to", Level.ADMIN, "rollback to N : back to a version", api.rollback),
                 ("enable server", Level.ADMIN, "enable server fleet/NAME : as state ready", api.enable),
                 ("disable server", Level.ADMIN, "disable server fleet/NAME : as state maint", api.disable),
                 (
@@ -136,6 +163,7 @@
 class Api:
     def __init__(self, manager: Manager) -> None:
         self._manager, self._core, self._roster = manager, manager.core, manager.roster
+        self._version, self._prepared = 0, dict[int, list[tuple[tuple[str, str], float]]]()
 
     def info(self, words: tuple[str, ...]) -> str:
         manager, up = self._manager, self._manager.clock.seconds() - self._manager.started
@@ -299,6 +327,104 @@
             f"[{now - fault.at:.1f}s ago] {fault.many} x {fault.what}\n" for fault in self._manager.errors
         )
 
+    # Factors on the decided weights, through the guard.
+
+    def _factor(self, word: str, percent: str) -> tuple[tuple[str, str], float]:
+        product, _, server = word.partition("/")
+        if not server:
+            raise Refused("Require 'product/server'.")
+        return (product, server), number(0, 10_000, "%")(percent) / 100
+
+    def _propose(self, why: str, changes: list[tuple[tuple[str, str], float]]) -> str:
+        gateways, warden = self._core.using({key for key, _ in changes}), self._core.warden
+        return self._stands(lambda now: warden.propose("operator", why, changes, gateways, now))
+
+    def _stands(self, change: Callable[[int], Version]) -> str:
+        warden = self._core.warden
+        try:
+            version = change(tenths(self._manager.clock))
+        except Denied as denied:
+            raise Refused(f"Refused: {denied}.") from None
+        self._core.owe_all()
+        self._manager.give()
+        wave = warden.wave
+        out = wave is not None and not wave.over and wave.number == version.number
+        self._manager.told("table.accepted", version=version.number, why=version.why, wave=out)
+        return f"Version {version.number} {'goes out in waves' if out else 'stands'}.\n"
+
+    def weight(self, words: tuple[str, ...]) -> str:
+        return self._propose(" ".join(words), [self._factor(words[2], words[3])])
+
+    def prepare(self, words: tuple[str, ...]) -> str:
+        self._version += 1
+        self._prepared[self._version] = []
+        while len(self._prepared) > PREPARED_MOST:
+            del self._prepared[next(iter(self._prepared))]
+        return f"New version created: {self._version}\n"
+
+    def _lines_of(self, word: str) -> list[tuple[tuple[str, str], float]]:
+        version = word.removeprefix("@")
+        if not version.isdigit() or int(version) not in self._prepared:
+            raise Refused("Unknown version of the table.")
+        return self._prepared[int(version)]
+
+    def add_line(self, words: tuple[str, ...]) -> str:
+        lines = self._lines_of(words[2])
+        if len(lines) >= LINES_MOST:
+            raise Refused(f"The version is full; {LINES_MOST} lines are allowed.")
+        lines.append(self._factor(words[3], words[4]))
+        return ""
+
+    def commit(self, words: tuple[str, ...]) -> str:
+        lines = self._lines_of(words[2])
+        del self._prepared[int(words[2].removeprefix("@"))]
+        return self._propose(" ".join(words[3:]) or "commit table", lines)
+
+    def rollback(self, words: tuple[str, ...]) -> str:
+        if not words[2].isdigit():
+            raise Refused("Require a version's number.")
+        warden = self._core.warden
+        keys = {key for one in warden.history.all() for key in one.factors}
+        gateways = self._core.using(keys)
+        return self._stands(lambda now: warden.rollback("operator", int(words[2]), gateways, now))
+
+    @staticmethod
+    def _age(at: int, now: int) -> int:
+        return (now - at) // TENTHS if at else -1
+
+    def history(self, words: tuple[str, ...]) -> str:
+        now, history = tenths(self._manager.clock), self._core.warden.history
+        return "# version parent age_s who lines state why\n" + "".join(
+            f"{one.number} {one.parent} {self._age(one.at, now)} {one.who} {len(one.factors)} "
+            f"{'current' if one.number == history.current else one.state.replace(' ', '_')} {one.why}\n"
+            for one in history.all()
+        )
+
+    def diff(self, words: tuple[str, ...]) -> str:
+        try:
+            rows = self._core.warden.history.diff(int(words[3]), int(words[4]))
+        except (KeyError, ValueError):
+            raise Refused("No such version.") from None
+        return "# pxname svname before after\n" + "".join(
+            f"{key[0]} {key[1]} {100 * before:g}% {100 * after:g}%\n" for key, before, after in rows
+        )
+
+    def refused(self, words: tuple[str, ...]) -> str:
+        now = tenths(self._manager.clock)
+        return "".join(
+            f"[{(now - one.at) // TENTHS}s ago] {one.who}: {one.what}\n"
+            for one in self._core.warden.history.refused
+        )
+
+    def wave(self, words: tuple[str, ...]) -> str:
+        wave = self._core.warden.wave
+        if wave is None:
+            return "No wave.\n"
+        return (
+            f"version={wave.number} stage={wave.stage.name.lower()} gateways={','.join(wave.changed) or '-'} "
+            f"txns={wave.watch.seen:.0f} sure_worse={wave.watch.sureness():.3f}\n"
+        )
+
     # Changes of the list.
 
     def _name(self, word: str) -> str:
--- a/rushladder/service/manager.py
+++ b/rushladder/service/manager.py
@@ -18,6 +18,7 @@
 from rushladder.core.roster import Roster
 from rushladder.gateways.driver import GatewayDriver, Log, Times
 from rushladder.gateways.holding import Holding
+from rushladder.guard.waves import Effect
 from rushladder.interface import Event, Listing, PeerWord, Probed, ProbeResult
 from rushladder.runtime.endpoint import RuntimeClient
 from rushladder.timing import TENTHS, Call, Clock, tenths
@@ -72,7 +73,20 @@
         if restored and not self.restored:
             self.fault("the list kept from before is not whole, and was passed over")
         for site in plan.collectors if not self.restored else ():
-            self.roster.add(site.name, site.region, site.model, site.size, str(site.address), 0, site.cell)
+            self.roster.add(
+                site.name,
+                site.region,
+                site.model,
+                site.size,
+                str(site.address),
+                0,
+                site.cell,
+                site.limit,
+                site.connections,
+            )
+        for site in plan.collectors:
+            if (listed := self.roster.listed.get(site.name)) is not None:
+                listed.limit, listed.connections = site.limit, site.connections
         self.saved = self.roster.version
         self.reports, self.words = Reports(), deque[Words](maxlen=1)
         self.core = Core(
@@ -165,7 +179,22 @@
         if not self._stopped:
             self.beats += 1
             self.clock.callLater(PERIOD, self._period)
+            self.core.tell_demand()
+            effect = self.core.watch_wave(self.reports.take_met())
+            if effect is not Effect.NONE and self.core.warden.wave is not None:
+                wave = self.core.warden.wave
+                self._log.info(
+                    "wave",
+                    version=wave.number,
+                    effect=effect.value,
+                    stage=wave.stage.value,
+                    gateways=len(wave.changed),
+                    sure=round(wave.watch.sureness(), 4),
+                )
             self.give(*self.reports.close())
+            faults, self.core.warden.faults = self.core.warden.faults, []
+            for what in faults:
+                self.fault(what)
 
     def _probe(self, server: Server) -> None:
         listed = self.roster.listed.get(server.name)
@@ -195,6 +224,10 @@
             )
             self.give(event)
 
+    def told(self, event: str, **more: Any) -> None:
+        """Logs what an operator's command did."""
+        self._log.info(event, **more)
+
     # Faults.
 
     def fault(self, what: str) -> None:
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -1,6 +1,7 @@
 """Stories of the whole path: managers steer gateways over their runtime sockets, all of it in memory."""
 
 import unittest
+from functools import cache
 
 from rushladder.runtime.endpoint import Level, Refused
 from rushladder.runtime.grammar import Command, fields, table
@@ -9,9 +10,12 @@
 from tests.world import Wire, World
 
 
+commands = cache(verbs)  # one table of commands a manager, as its listeners share it
+
+
 def ctl(manager: Manager, text: str) -> str:
     command = Command(tuple(text.split()))
-    verb = verbs(manager).find(command.words)
+    verb = commands(manager).find(command.words)
     assert verb is not None, text
     try:
         answer = verb.run(command, Level.ADMIN)
@@ -302,6 +306,101 @@
             self.assertEqual({"s0", "s1"} & set(usable), set(), usable)
 
 
+class GuardStories(unittest.TestCase):
+    def world(self) -> World:
+        world = World(gateways=10, servers=8, cap=60)
+        world.run(14, rate=20)
+        return world
+
+    def carried(self, world: World, server: str) -> list[float]:
+        """The server's part of each gateway's pool of `pay`."""
+        pools = [world.usable(name, "pay") for name in world.sites]
+        return [pool.get(server, 0) / sum(pool.values()) for pool in pools]
+
+    def test_a_table_that_points_everything_at_one_collector_is_refused_with_its_reason(self) -> None:
+        world = self.world()
+        manager, before = world.managers["m0"], [world.usable(name, "pay") for name in world.sites]
+        self.assertEqual(ctl(manager, "prepare table"), "New version created: 1\n")
+        for k in range(1, 8):
+            ctl(manager, f"add table @1 pay/s{k} 0%")
+        answer = ctl(manager, "commit table @1 only s0")
+        self.assertTrue(answer.startswith("refused: Refused: "), answer)
+        self.assertIn("would be accepted", answer)
+        world.run(3, rate=20)
+        self.assertEqual(before, [world.usable(name, "pay") for name in world.sites])
+        self.assertIn("operator:", ctl(manager, "show table refused"))
+
+    def test_a_good_change_goes_out_in_waves_and_stands_and_can_be_rolled_back(self) -> None:
+        world = self.world()
+        manager = world.managers["m0"]
+        self.assertEqual(ctl(manager, "set weight pay/s0 50%"), "Version 1 goes out in waves.\n")
+        self.assertIn("still on its way", ctl(manager, "set weight pay/s2 50%"))
+        before = self.carried(world, "s0")
+        world.run(2.5, rate=20)
+        changed = [a < 0.8 * b for a, b in zip(self.carried(world, "s0"), before, strict=True) if b]
+        self.assertEqual(sum(changed), 1)
+        world.run(60, rate=20)
+        self.assertIn("stage=done", ctl(manager, "show wave"))
+        after = self.carried(world, "s0")
+        self.assertTrue(all(a < 0.8 * b for a, b in zip(after, before, strict=True) if b))
+        self.assertIn("1 0", ctl(manager, "show table history"))
+        self.assertEqual(
+            ctl(manager, "show table diff 0 1"), "# pxname svname before after\npay s0 100% 50%\n"
+        )
+        ctl(manager, "rollback to 0")
+        world.run(60, rate=20)
+        self.assertTrue(all(abs(a - b) < 0.1 for a, b in zip(self.carried(world, "s0"), before, strict=True)))
+
+    def test_a_change_that_shifts_txns_to_a_slow_collector_is_taken_back_from_its_first_wave(self) -> None:
+        world = self.world()
+        manager = world.managers["m0"]
+        world.slow["s2"] = 1.4  # nobody has seen it yet: hardly a txn goes there
+        self.assertEqual(ctl(manager, "set weight ask/s2 400%"), "Version 1 goes out in waves.\n")
+        world.run(30, rate=20)
+        self.assertIn("stage=undone", ctl(manager, "show wave"))
+        self.assertIn("taken_back", ctl(manager, "show table history"))
+        reached = {
+            name
+            for at, name, words, _ in world.sent
+            if words[:3] == ("set", "server", "ask/s2") and words[3] == "weight" and int(words[4]) > 230
+        }
+        self.assertLessEqual(len(reached), 4)
+
+    def test_a_drain_never_waits_for_a_wave_nor_for_the_guard(self) -> None:
+        world = self.world()
+        manager = world.managers["m0"]
+        ctl(manager, "set weight pay/s0 50%")
+        ctl(manager, "set server fleet/s2 state drain")
+        world.run(2.2, rate=20)
+        self.assertFalse(any("s2" in world.usable(name, "pay") for name in world.sites))
+
+    def test_the_modules_own_bad_order_is_a_fault_and_the_last_good_table_stays(self) -> None:
+        world = self.world()
+        manager, before = world.managers["m0"], world.usable("g0", "pay")
+        number, table_ = next((n, t) for n, t in manager.core._tables.items() if t.ports)
+        manager.core.weigh(number, next(iter(table_.lines)), float("inf"))
+        manager.give()
+        world.run(1.5, rate=20)
+        self.assertIn("own order for table", ctl(manager, "show errors"))
+        self.assertEqual(set(world.usable("g0", "pay")), set(before))
+
+    def test_bad_words_are_refused_by_name(self) -> None:
+        manager = self.world().managers["m0"]
+        for text, reason in (
+            ("set weight pay/none 50%", "unknown"),
+            ("set weight none/s0 50%", "unknown"),
+            ("set weight pay 50%", "Require"),
+            ("set weight pay/s0 -5%", "out of range"),
+            ("set weight pay/s0 nan%", "out of range"),
+            ("add table @9 pay/s0 50%", "Unknown version"),
+            ("rollback to 7", "unknown"),
+            ("rollback to x", "Require"),
+            ("show table diff 0 9", "No such version"),
+            ("commit table @3", "Unknown version"),
+        ):
+            self.assertIn(reason, ctl(manager, text), text)
+
+
 class ApiStories(unittest.TestCase):
     def test_the_api_shows_what_stands(self) -> None:
         world = World()
--- a/tests/world.py
+++ b/tests/world.py
@@ -114,6 +114,7 @@
         self.gateways, self.traffic = dict[str, GatewayState](), dict[str, int]()
         self.sent = list[tuple[float, str, tuple[str, ...], str]]()  # what crossed the gateways' sockets
         self.wires = dict[tuple[str, str], Wire]()
+        self.slow = dict[str, float]()  # seconds that a txn takes at a server
         self.down, self.hung, self.delay = set[str](), set[str](), 0.002
         self.shape: Callable[[str, Wire], None] = lambda name, wire: None  # changes a new connection's wires
         self.draw = Random(3).random
@@ -194,7 +195,7 @@
                             if line is not None and line.name in self.hung:
                                 line.voided += 1
                             elif line is not None:
-                                line.settle(0.15)
+                                line.settle(self.slow.get(line.name, 0.15))
 
     def changes(self, name: str, since: float = 0.0) -> list[tuple[str, ...]]:
         """Commands that changed the gateway's servers or maps."""
