--- a/rushladder/conf/objects.py
+++ b/rushladder/conf/objects.py
@@ -95,6 +95,7 @@
     may_probe: bool
     holding: Holding
     list_file: str
+    guard: str  # on, no-waves (admission only) or off; the last two are for measuring
     gateways: tuple[GatewaySite, ...]
     collectors: tuple[CollectorSite, ...]
     peers: tuple[PeerSite, ...]
--- a/rushladder/conf/reader.py
+++ b/rushladder/conf/reader.py
@@ -41,6 +41,7 @@
 UNITS = {"ratio": LevelUnit.RATIO, "rate": LevelUnit.RATE, "off": LevelUnit.IGNORED}
 LEVELS = {"user": Level.USER, "operator": Level.OPERATOR, "admin": Level.ADMIN}
 SWITCH = {"on": True, "off": False}
+GUARDS = ("on", "no-waves", "off")
 Reader = Callable[[str], Any]
 
 
@@ -93,6 +94,7 @@
             "messages": Directive((whole(4, 100_000),), {"per": duration}, usage="messages COUNT per TIME"),
             "levels": Directive((one_of(UNITS),), usage="levels ratio|rate|off"),
             "probes": Directive((one_of(SWITCH),), usage="probes on|off"),
+            "guard": Directive((one_of({k: k for k in GUARDS}),), usage="guard on|no-waves|off"),
             "poll": Directive((duration,), usage="poll TIME"),
             "takeover": Directive((duration,), usage="takeover TIME"),
             "patience": Directive((duration,), usage="patience TIME"),
@@ -410,6 +412,7 @@
             manager.one("patience", holding.patience),
         ),
         list_file=manager.one("list-file", ""),
+        guard=manager.one("guard", "on"),
         gateways=tuple(
             GatewaySite(s.name, s.one("region"), s.one("socket"), s.one("usual", 10.0)) for s in of("gateway")
         ),
--- a/rushladder/core/host.py
+++ b/rushladder/core/host.py
@@ -22,6 +22,7 @@
 from rushladder.core.roster import Roster
 from rushladder.gateways.difference import Admin, Held, Key, Line, server_commands, sweep_commands
 from rushladder.gateways.rounding import round_pool
+from rushladder.guard.allotment import allotment
 from rushladder.guard.warden import Warden
 from rushladder.guard.waves import Arm, Effect
 from rushladder.interface import (
@@ -143,12 +144,14 @@
         level_unit: LevelUnit,
         may_probe: bool,
         now: int,
+        guard: str = "on",
+        gateways: Sequence[tuple[str, str, float]] = (),
     ) -> None:
         self._now, self.roster, self.products, self._channel = now, roster, products, channel
         self._unit, self._cold_time = level_unit, guarantee.cold_time
         self._tables, self.withdrawn = dict[int, Tbl](), dict[Server, None]()
-        self.warden, self._changed = Warden(Random(seed).random), dict[Tbl, None]()
-        self._cold_from = guarantee.cold_from
+        self.warden, self._changed = Warden(Random(seed).random, guard), dict[Tbl, None]()
+        self._cold_from, self._gateways, self._held = guarantee.cold_from, tuple(gateways), frozenset[str]()
         self.ports = dict[Gateway, Port]()
         self._touched, self._ready = dict[Port, None](), dict[Port, None]()
         self._wakes, self._order = list[tuple[int, int, int]](), count()
@@ -242,7 +245,15 @@
                 table.accept()
 
     def tell_demand(self) -> None:
-        """The guard hears what comes to each table, as the module has measured it."""
+        """The guard hears what comes to each table, as the module has measured it, and which limits are
+        its own."""
+        held = frozenset(gateway.name for gateway in self.ports)
+        if self._gateways and held != self._held:
+            self._held = held
+            servers = {
+                name: listed.server.zone for name, listed in self.roster.listed.items() if listed.limit
+            }
+            self.warden.allot(allotment(servers, self._gateways, held))
         sums = dict[tuple[Tbl, Product], float]()
         for port in self.ports.values():
             for product, table in port.tables.items():
--- a/rushladder/guard/admission.py
+++ b/rushladder/guard/admission.py
@@ -114,6 +114,7 @@
     ) -> None:
         self.book, self._takes_over, self._headroom = book, takes_over, headroom
         self._held = connections_per_txn
+        self.lenient = False  # lets through what it can read: for measuring what the guard is worth
         self.demand_at: int | None = None  # when demand was last heard; None: never
 
     def judge(self, groups: Sequence[Group], now: int, trusted: bool = False) -> Verdict:
@@ -162,15 +163,19 @@
 
     # Everything else.
 
-    def _try(self, group: Group, now: int, trusted: bool) -> Refusal | None:
+    def test(self, group: Group, now: int) -> Refusal | None:
+        """What would be said of a group; the book stays as it is."""
+        return self._try(group, now, False, keep=False)
+
+    def _try(self, group: Group, now: int, trusted: bool, keep: bool = True) -> Refusal | None:
         found = self._read(group)
         if found is None:
             before = {pool: self._top(pool) for pool in self._pools(group)}
             for part in group:
                 self._apply(part)
-            found = self._look(group, before, now, trusted)
+            found = None if self.lenient else self._look(group, before, now, trusted)
         if found is None:
-            self.book.keep()
+            (self.book.keep if keep else self.book.undo)()
             return None
         self.book.undo()
         part, (reason, what, least) = found
--- a/rushladder/guard/warden.py
+++ b/rushladder/guard/warden.py
@@ -36,12 +36,14 @@
 class Warden:
     """The guard of one manager. Bounded by its servers, tables and gateways."""
 
-    def __init__(self, draw: Callable[[], float]) -> None:
+    def __init__(self, draw: Callable[[], float], guard: str = "on") -> None:
         self.book, self.history = Book(), History()
         self.admission = Admission(self.book)
+        self.admission.lenient, self._waves = guard == "off", guard == "on"
         self.wave: Wave | None = None
         self._draw, self._before = draw, dict[str, _Before]()
         self._plain = dict[str, dict[str, float]]()  # pool -> server -> weight as the module decided it
+        self._stated, self._parts = dict[str, float](), dict[str, float]()
         self.faults = list[str]()  # own orders that were refused, since last taken
 
     # Facts.
@@ -64,7 +66,8 @@
         if known is None or (known.zone, known.model) != (zone, model):
             known = Server(name, zone, model)
             self.book.add_server(known)
-        known.limit, known.connections = limit, connections
+        self._stated[name] = limit
+        known.limit, known.connections = limit * self._parts.get(name, 1.0), connections
         known.cold_from, known.cold_time = cold_from, max(1, cold_time)
         known.warm_at = started_at + cold_time if started_at else 0
         if known.ready is not ready:
@@ -93,6 +96,22 @@
             self.book.keep()
         self.admission.demand_at = now
 
+    def allot(self, parts: Mapping[str, float]) -> None:
+        """Which part of each server's stated limit this manager may use: what it is safe to use whatever
+        others do."""
+        self._parts = dict(parts)
+        for name, server in self.book.servers.items():
+            server.limit = self._stated.get(name, 0.0) * self._parts.get(name, 1.0)
+
+    def _outgrown(self) -> str:
+        """A server that an operator's change sends more than its limit by now, as demand has grown since."""
+        for product, name in self._version(None).factors:
+            server = self.book.servers.get(name)
+            if server is not None and server.limit and server.load > server.limit:
+                figures = f"{server.load:.1f} txns a second by now, over its {server.limit:.1f}"
+                return f"{name} is sent {figures} ({product})"
+        return ""
+
     # The module's orders.
 
     def table(
@@ -177,6 +196,18 @@
         factors = {**self._version(None).factors, **dict(changes)}
         return self._accept(who, why, factors, gateways, now)
 
+    def resize(self, who: str, server: str, ratio: float, now: int) -> None:
+        """A listed size is to change so many times: judged as if each line followed it. Raises Denied."""
+        known = self.book.servers.get(server)
+        lines = tuple(
+            Line(pool.name, server, weight * ratio)
+            for pool in self.book.pools.values()
+            if known is not None and (weight := pool.lines.get(known, 0.0)) and not math.isclose(ratio, 1.0)
+        )
+        refusal = self.admission.test(lines, now) if lines else None
+        if refusal is not None:
+            raise self._denied(who, str(refusal), now)
+
     def rollback(self, who: str, number: int, gateways: Sequence[str], now: int) -> Version:
         """Back to a version; judged like any change, unless it is the one before a wave that is still out."""
         if self.wave is not None and not self.wave.over:
@@ -202,7 +233,7 @@
         if verdict is not None and verdict.refused:
             raise self._denied(who, str(verdict.refused[0]), now)
         version = self.history.accept(who, why, factors, now)
-        if self._moved(before) > MOVES and len(gateways) > 1:
+        if self._waves and self._moved(before) > MOVES and len(gateways) > 1:
             order = sorted(gateways, key=lambda _: self._draw())
             self.wave = Wave(version.number, order, self._bad_before(order), now)
         return version
@@ -250,6 +281,9 @@
         changed = [arm for name in wave.changed for arm in met.get(name, ())]
         others = [arm for name, arms in met.items() if name not in wave.changed for arm in arms]
         effect = wave.period(changed, others, now)
+        if not wave.over and (outgrown := self._outgrown()):
+            self._undo(f"taken back: {outgrown}", now)
+            return Effect.UNDO
         if effect is Effect.UNDO:
             self._undo(
                 f"taken back: {wave.watch.sureness():.1%} sure that it is worse"
--- a/rushladder/service/api.py
+++ b/rushladder/service/api.py
@@ -442,7 +442,12 @@
                 raise Refused("'set server <srv> state' expects 'ready', 'drain' and 'maint'.")
             self._manager.listing(self._roster.change(server, now, availability=STATES[words[4]]))
         elif words[3] == "weight":
-            self._manager.listing(self._roster.change(server, now, size=number(0.001, 1000)(words[4])))
+            size = number(0.001, 1000)(words[4])
+            try:
+                self._core.warden.resize("operator", server, size / self._roster[server].size, now)
+            except Denied as denied:
+                raise Refused(f"Refused: {denied}.") from None
+            self._manager.listing(self._roster.change(server, now, size=size))
         else:
             raise Refused("usage: set server fleet/NAME state | weight")
         return ""
--- a/rushladder/service/manager.py
+++ b/rushladder/service/manager.py
@@ -100,6 +100,8 @@
             level_unit=plan.level_unit,
             may_probe=plan.may_probe and prober is not None,
             now=now,
+            guard=plan.guard,
+            gateways=[(site.name, site.region, site.usual_rate) for site in plan.gateways],
         )
         hold = plan.holding
         self.drivers = [
--- a/rushladder/trials/day.py
+++ b/rushladder/trials/day.py
@@ -51,6 +51,7 @@
     "gateway": {"kill": (0, True), "stall": (0, True), "break": (0, False), "unmanaged": (0, True)},
     "manager": {"kill": (0, True), "stall": (0, True)},
     "region": {"cut": (0, True)},
+    "operator": {"says": (1, False)},
 }
 
 
--- a/rushladder/trials/play.py
+++ b/rushladder/trials/play.py
@@ -341,6 +341,16 @@
         paths = " ".join(self._path(f"{gateway}.{manager}.sock") for manager in managers)
         self._tell(gateway + ".ctl", f"streams {what} {paths}".strip())
 
+    def _operator(
+        self, name: str, what: str, words: tuple[str, ...], one: Happening
+    ) -> tuple[Callable[[], None], Callable[[], None] | None]:
+        def say() -> None:
+            if self._steered:
+                answers = self._tell(name + ".sock", words[0])
+                self._record.note("said", manager=name, text=words[0], answers=[a[:200] for a in answers])
+
+        return say, None
+
     def _region(
         self, name: str, what: str, words: tuple[str, ...], one: Happening
     ) -> tuple[Callable[[], None], Callable[[], None] | None]:
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -5,13 +5,15 @@
 from pathlib import Path
 from random import Random
 
-from hypothesis import settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from rushladder.guard.admission import Admission, Close, Gate, Line, Open, Part, Reason, Verdict
+from rushladder.guard.allotment import allotment
 from rushladder.guard.book import Book, Pool, Server, open_to
 from rushladder.guard.history import KEPT, History
+from rushladder.guard.warden import Warden
 from rushladder.guard.waves import Arm, Effect, Stage, Wave
 from rushladder.interface import Product, Repeat
 
@@ -352,6 +354,55 @@
             self.assertTrue(wrong(Broken), more)
 
 
+class AllotmentStories(unittest.TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from("abc"), st.floats(0.1, 50), st.integers(0, 2)), min_size=1, max_size=12
+        )
+    )
+    def test_the_parts_of_all_managers_add_up_to_one(self, some: list[tuple[str, float, int]]) -> None:
+        gateways = [(f"g{k}", region, rate) for k, (region, rate, _) in enumerate(some)]
+        servers = {f"{region}{k}": region for region in "abc" for k in range(2)}
+        parts = [
+            allotment(
+                servers, gateways, frozenset(f"g{k}" for k, one in enumerate(some) if one[2] == manager)
+            )
+            for manager in range(3)
+        ]
+        for name in servers:
+            self.assertAlmostEqual(sum(part[name] for part in parts), 1.0)
+
+    def test_a_manager_has_most_of_the_servers_of_its_own_region(self) -> None:
+        parts = allotment({"a1": "a", "b1": "b"}, [("g1", "a", 10.0), ("g2", "b", 10.0)], frozenset({"g1"}))
+        self.assertEqual(parts, {"a1": 0.8, "b1": 0.2})
+
+
+class WardenStories(unittest.TestCase):
+    def test_a_change_that_demand_has_outgrown_on_its_way_is_taken_back(self) -> None:
+        warden, product = Warden(Random(1).random), PRODUCTS["ask"][0]
+        for k in range(4):
+            warden.server(
+                f"s{k}",
+                "a",
+                "big",
+                limit=40.0,
+                connections=0,
+                ready=True,
+                started_at=0,
+                cold_time=1,
+                cold_from=1.0,
+            )
+        warden.demand("0", product, "a", 60.0, 1)
+        self.assertIsNone(warden.table("0", [product], "a", {f"s{k}": 10.0 for k in range(4)}, 1))
+        warden.propose("ops", "more for s0", [(("ask", "s0"), 2.0)], [f"g{k}" for k in range(9)], 1)
+        self.assertEqual(warden.version_of("none of the wave"), 0)
+        warden.demand("0", product, "a", 120.0, 2)
+        self.assertIs(warden.period({}, 2), Effect.UNDO)
+        self.assertEqual((warden.history.current, warden.factor("ask", "s0")), (0, 1.0))
+        self.assertIn("over its 40.0", warden.history[1].state)
+
+
 class WaveStories(unittest.TestCase):
     SLA = 20_000.0
 
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -330,6 +330,12 @@
         self.assertEqual(before, [world.usable(name, "pay") for name in world.sites])
         self.assertIn("operator:", ctl(manager, "show table refused"))
 
+    def test_a_listed_size_that_would_draw_everything_is_refused_and_a_sound_one_is_not(self) -> None:
+        manager = self.world().managers["m0"]
+        self.assertIn("takes-over", ctl(manager, "set server fleet/s0 weight 1000"))
+        self.assertEqual(manager.roster["s0"].size, 1.0)
+        self.assertEqual(ctl(manager, "set server fleet/s0 weight 1.5"), "")
+
     def test_a_good_change_goes_out_in_waves_and_stands_and_can_be_rolled_back(self) -> None:
         world = self.world()
         manager = world.managers["m0"]
@@ -366,6 +372,18 @@
         }
         self.assertLessEqual(len(reached), 4)
 
+    def test_a_wave_whose_manager_is_lost_is_undone_by_its_successor(self) -> None:
+        world = World(gateways=6, servers=8, cap=60, managers=2)
+        world.run(10, rate=20)
+        before = self.carried(world, "s0")
+        ctl(world.managers["m0"], "set weight pay/s0 30%")
+        world.run(2.5, rate=20)
+        self.assertTrue(any(a < 0.6 * b for a, b in zip(self.carried(world, "s0"), before, strict=True)))
+        world.kill("m0")
+        world.run(12, rate=20)
+        self.assertEqual({world.holder(name) for name in world.sites}, {"m1"})
+        self.assertTrue(all(a >= 0.6 * b for a, b in zip(self.carried(world, "s0"), before, strict=True)))
+
     def test_a_drain_never_waits_for_a_wave_nor_for_the_guard(self) -> None:
         world = self.world()
         manager = world.managers["m0"]
