--- a/rushladder/standins/collector.py
+++ b/rushladder/standins/collector.py
@@ -54,7 +54,7 @@
         self._random = Random(build.port)
         self._queue, self._busy = deque[_Txn](), 0
         self._sent = deque[tuple[float, float]]()  # times and work of what came within the window of rule 4
-        self._slow, self._fails, self._hangs = 1.0, 0.0, False
+        self._slow, self._fails, self._hangs, self._shakes = 1.0, 0.0, False, 0.0
         self._started, self._life = -1e9, 0
         self._port: Any = None
         self._channels = set[Any]()
@@ -76,6 +76,9 @@
         def noted(addr: Any) -> Any:
             channel = build(addr)
             self._channels.add(channel)
+            if self._shakes:  # a new connection costs a core its time before the next txn
+                self._busy += 1
+                self._reactor.callLater(self._shakes, self._free, self._life)
             return channel
 
         site.buildProtocol = noted
@@ -152,6 +155,15 @@
             took = txn.work * self._slow / (self.build.speed * self.ramp())
             self._reactor.callLater(took, self._end, txn, self._life)
 
+    def _free(self, life: int) -> None:
+        if life == self._life:
+            self._busy -= 1
+            self._next()
+
+    def handshake(self, seconds: float) -> None:
+        self._shakes = seconds
+        self._record.note("trouble", name=self.build.name, handshake=seconds)
+
     def _end(self, txn: _Txn, life: int) -> None:
         if life != self._life:
             return
@@ -183,6 +195,7 @@
             verb("start", lambda one, _: one.start(warm=False)),
             verb("slow", lambda one, word: one.trouble(slow=float(word))),
             verb("fail", lambda one, word: one.trouble(fails=float(word))),
+            verb("handshake", lambda one, word: one.handshake(float(word))),
             verb("hang", lambda one, word: one.trouble(hangs=word == "on")),
         ]
     )
--- a/rushladder/standins/load.py
+++ b/rushladder/standins/load.py
@@ -52,6 +52,7 @@
             (0.0, 1.0),
             1.0,
         )
+        self.hot = ("-", 0.0)  # a gateway that takes a part of all txns beside its share
         self._number, self._dead = 0, dict[str, float]()
         self.stopped = False
 
@@ -95,6 +96,8 @@
         now = self._reactor.seconds()
         some = [one for one in self._gateways if not 0 < self._dead.get(one[0], 0) <= now - NOTICE]
         gateway, port = self._random.choice(some or self._gateways)
+        if self._random.random() < self.hot[1]:
+            gateway, port = next((one for one in some if one[0] == self.hot[0]), (gateway, port))
         left = until - now
         url = f"http://127.0.0.1:{port}/{ask.name}/{name}?work={1000 * work:.1f}&left={1000 * left:.1f}"
         try:
@@ -125,6 +128,10 @@
         load.patience = float(command.words[1])
         return ""
 
+    def hot(command: Command, level: Level) -> str:
+        load.hot = command.words[1], float(command.words[2])
+        return ""
+
     def stop(command: Command, level: Level) -> str:
         load.stopped = True
         return ""
@@ -134,6 +141,7 @@
             Verb(("factor",), Level.ADMIN, "factor PRODUCT|all X", factor),
             Verb(("heavy",), Level.ADMIN, "heavy PART TIMES", heavy),
             Verb(("patience",), Level.ADMIN, "patience PART", patience),
+            Verb(("hot",), Level.ADMIN, "hot GATEWAY PART", hot),
             Verb(("stop",), Level.ADMIN, "stop", stop),
         ]
     )
--- a/rushladder/trials/day.py
+++ b/rushladder/trials/day.py
@@ -33,7 +33,13 @@
 SECTIONS = ("day", "product", "manager", "gateway", "collector", "events")
 # Who -> what can happen to it -> how many arguments, and whether it ends by itself with `for`.
 HAPPENINGS: dict[str, dict[str, tuple[int, bool]]] = {
-    "load": {"times": (1, True), "heavy": (2, True), "patience": (1, True), "shift": (2, False)},
+    "load": {
+        "times": (1, True),
+        "heavy": (2, True),
+        "patience": (1, True),
+        "shift": (2, False),
+        "hot": (2, True),
+    },
     "collector": {
         "crash": (0, True),
         "flap": (1, True),
@@ -41,6 +47,7 @@
         "ageing": (1, True),
         "fail": (1, True),
         "hang": (0, True),
+        "handshake": (1, True),
         "drain": (0, False),
         "ready": (0, False),
         "maint": (0, False),
@@ -48,7 +55,13 @@
         "join": (0, False),
         "release": (1, False),
     },
-    "gateway": {"kill": (0, True), "stall": (0, True), "break": (0, False), "unmanaged": (0, True)},
+    "gateway": {
+        "kill": (0, True),
+        "stall": (0, True),
+        "break": (0, False),
+        "unmanaged": (0, True),
+        "blind": (1, True),
+    },
     "manager": {"kill": (0, True), "stall": (0, True)},
     "region": {"cut": (0, True)},
     "operator": {"says": (1, False)},
--- a/rushladder/trials/play.py
+++ b/rushladder/trials/play.py
@@ -246,8 +246,14 @@
     def _load(
         self, _: str, what: str, words: tuple[str, ...], one: Happening
     ) -> tuple[Callable[[], None], Callable[[], None] | None]:
-        back = {"times": "factor all 1", "heavy": "heavy 0 1", "patience": "patience 1"}
-        text = {"times": "factor all", "heavy": "heavy", "patience": "patience", "shift": "factor"}[what]
+        back = {"times": "factor all 1", "heavy": "heavy 0 1", "patience": "patience 1", "hot": "hot - 0"}
+        text = {
+            "times": "factor all",
+            "heavy": "heavy",
+            "patience": "patience",
+            "shift": "factor",
+            "hot": "hot",
+        }[what]
         return (
             lambda: self._clients(f"{text} {' '.join(words)}"),
             (lambda: self._clients(back[what])) if what in back else None,
@@ -314,6 +320,9 @@
                 "fail": (words and f"{float(words[0].rstrip('%')) / 100}", "0"),
             }[what]
             return tell(f"{what} {name} {word}"), tell(f"{what} {name} {back}")
+        if what == "handshake":
+            cost = _seconds(words[0])
+            return tell(f"handshake {name} {cost}"), tell(f"handshake {name} 0")
         if what == "weight":
             return (lambda: self._list(name, f"set server fleet/{name} weight {words[0]}")), None
         return listed(what), None
@@ -335,8 +344,15 @@
             return self._process(name, what)
         if what == "break":
             return (lambda: self._stream(name, "break")), None
+        if what == "blind":
+            far = " ".join(self._address(c) for c in self.day.collectors if c.name in words[0].split(","))
+            return (lambda: self._wire(name, f"unreachable {far}")), lambda: self._wire(name, "unreachable")
         return (lambda: self._stream(name, "close")), lambda: self._stream(name, "open")
 
+    def _wire(self, gateway: str, text: str) -> None:
+        self._record.note("happens", what=f"{gateway} {text}")
+        self._tell(gateway + ".ctl", text)
+
     def _stream(self, gateway: str, what: str, managers: tuple[str, ...] = ()) -> None:
         paths = " ".join(self._path(f"{gateway}.{manager}.sock") for manager in managers)
         self._tell(gateway + ".ctl", f"streams {what} {paths}".strip())
