Load report intake, first part: limits, readings, hints, and their structures

Cause: servers that report their load send far more than can be kept, and not all of it is true. Not wired in yet.

--- /dev/null
+++ b/rushladder/intake/__init__.py
@@ -0,0 +1,2 @@
+"""Load reports of servers: taken in within bounds, aged, and never trusted further than they have
+predicted."""
--- /dev/null
+++ b/rushladder/intake/hints.py
@@ -0,0 +1,75 @@
+"""How far a server's report may move its weight: bounded, slow, and by how it has predicted so far. Free of
+I/O.
+
+A report that a server is fuller than the others predicts that its txns take longer than theirs. Each period
+the prediction is held against the measured latency; the error of predicting by the report, against that of
+predicting nothing, is what the report is worth. A liar, a stuck reading and one that tells of something
+else are worth nothing within some periods.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+import attrs
+
+FAR = 0.2  # of a weight, either way, at the most: what measured tries say moves it by up to seven tenths
+STEP = 0.02  # a period: ten periods from neutral to the bound, slower than the module's own tenth
+LEARNS = 0.1  # a period, of the memory of errors: ten periods
+FEW = 3  # servers whose reports are fresh, below which there is nothing to compare with
+FLOOR = 0.05  # of load, so that all but idle servers do not differ tenfold
+
+
+@attrs.define
+class Trust:
+    """What one server's reports were worth: squared errors of their predictions, and of predicting
+    nothing."""
+
+    by_report: float = 0.02  # begins a little in doubt: it has to predict better than nothing first
+    by_nothing: float = 0.02
+    hint: float = 1.0
+
+    def worth(self) -> float:
+        """From 0 to 1."""
+        return min(1.0, max(0.0, 1.0 - self.by_report / self.by_nothing)) if self.by_nothing > 0 else 0.0
+
+
+class Hints:
+    """One trust a server; bounded by the servers that report."""
+
+    def __init__(self) -> None:
+        self._trust = dict[str, Trust]()
+
+    def period(
+        self, loads: Mapping[str, tuple[float, float]], latency: Mapping[str, float]
+    ) -> dict[str, float]:
+        """The hints of this period: 1 is neutral, above it more. Servers not named are neutral.
+
+        loads: server -> load, and its say (0 to 1, by age); latency: server -> measured mean over the
+        fleet's, where known.
+        """
+        fresh = sorted(load for load, say in loads.values() if say >= 1.0)
+        middle = fresh[len(fresh) // 2] if len(fresh) >= FEW else None
+        for name in {*loads, *self._trust}:
+            trust = self._trust.setdefault(name, Trust())
+            load, say = loads.get(name, (0.0, 0.0))
+            wanted = 1.0
+            if middle is not None and say > 0:
+                fuller = (max(load, FLOOR)) / max(middle, FLOOR)
+                self._learn(trust, fuller, latency.get(name), say)
+                wanted = 1.0 + trust.worth() * say * min(FAR, max(-FAR, 1.0 / fuller - 1.0))
+            trust.hint += min(STEP, max(-STEP, wanted - trust.hint))
+        for name in [name for name, trust in self._trust.items() if name not in loads and trust.hint == 1.0]:
+            del self._trust[name]
+        return {name: trust.hint for name, trust in self._trust.items()}
+
+    def worth(self, server: str) -> float:
+        return self._trust[server].worth() if server in self._trust else 0.0
+
+    def _learn(self, trust: Trust, fuller: float, measured: float | None, say: float) -> None:
+        if measured is None or measured <= 0 or say < 1.0:
+            return
+        truth, guess = math.log(min(10.0, max(0.1, measured))), math.log(min(10.0, max(0.1, fuller)))
+        trust.by_report += LEARNS * ((truth - guess) ** 2 - trust.by_report)
+        trust.by_nothing += LEARNS * (truth**2 - trust.by_nothing)
--- /dev/null
+++ b/tests/test_intake.py
@@ -0,0 +1,240 @@
+"""Stories of load reports: bounded, ordered by their senders, aged, and believed by what they predicted."""
+
+import contextlib
+import math
+import unittest
+from collections import Counter
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rushladder.intake.agent import Agent, Unclear, read_agent
+from rushladder.intake.hints import FAR, STEP, Hints
+from rushladder.intake.limits import Limits, Taken
+from rushladder.intake.readings import GONE, STALE, Order, Reading
+from rushladder.structures.hitters import Hitters
+from rushladder.structures.quantiles import Quantiles
+from rushladder.structures.wheel import Wheel
+
+SECOND = 10_000
+
+
+class StructureStories(unittest.TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.lists(st.tuples(st.integers(0, 9), st.integers(0, 400_000)), max_size=60),
+        st.lists(st.integers(1, 60_000), min_size=1, max_size=20),
+    )
+    def test_the_wheel_expires_what_a_heap_does(self, sets: list[tuple[int, int]], steps: list[int]) -> None:
+        wheel, times, now = Wheel[int](100, 0), dict[int, int](), 0
+        todo = iter(sets)
+        for step in steps:
+            for _, (key, away) in zip(range(4), todo, strict=False):
+                wheel.set(key, now + away)
+                times[key] = now + away
+            now += step
+            gone = wheel.advance(now)
+            due = {key for key, at in times.items() if at // 100 <= now // 100}
+            late = {key for key in due if times[key] // 100 < now // 100}
+            self.assertTrue(late <= set(gone) <= due)
+            self.assertEqual(len(gone), len(set(gone)))
+            for key in gone:
+                del times[key]
+        self.assertEqual(len(wheel), len(times))
+
+    def test_the_wheel_holds_times_beyond_its_reach(self) -> None:
+        wheel = Wheel[str](1, 0, levels=2)
+        wheel.set("far", 64 * 64 * 5 + 7)
+        self.assertEqual(wheel.advance(64 * 64 * 5 + 6), [])
+        self.assertEqual(wheel.advance(64 * 64 * 5 + 8), ["far"])
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.integers(0, 30), max_size=400), st.integers(2, 12))
+    def test_heavy_hitters_are_off_by_no_more_than_stated(self, keys: list[int], most: int) -> None:
+        hitters, truth = Hitters[int](most), Counter(keys)
+        for key in keys:
+            hitters.add(key)
+        found = {key: (count, over) for key, count, over in hitters.top(most)}
+        for key, (count, over) in found.items():
+            self.assertTrue(count - over <= truth[key] <= count and over <= len(keys) / most)
+        self.assertTrue({key for key, many in truth.items() if many > len(keys) / most} <= set(found))
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.floats(1e-3, 1e5), min_size=1, max_size=200), st.floats(0, 1), st.integers(0, 200))
+    def test_quantiles_are_off_by_no_more_than_stated_and_merge(
+        self, values: list[float], part: float, cut: int
+    ) -> None:
+        one, other = Quantiles(0.02), Quantiles(0.02)
+        for place, value in enumerate(values):
+            (one if place < cut else other).add(value)
+        one.merge(other)
+        truth = sorted(values)[math.floor(part * (len(values) - 1))]
+        self.assertLessEqual(abs(one.quantile(part) - truth), 0.0201 * truth)
+
+
+class AgentStories(unittest.TestCase):
+    def test_answers_as_the_manual_has_them(self) -> None:
+        self.assertEqual(read_agent(b"75%\n"), Agent(weight=0.75))
+        self.assertEqual(read_agent(b"up 50% maxconn:30\r\nrest"), Agent(0.5, None, True, 30))
+        self.assertEqual(read_agent(b"down #disk full"), Agent(up=False, why="disk full"))
+        self.assertEqual(read_agent(b"drain,10%\n"), Agent(weight=0.1, admin="drain"))
+
+    def test_unclear_answers_count_for_nothing(self) -> None:
+        for bad in (b"75", b"-5%", b"9999%", b"up maybe", b"\xff\xfe", b"x" * 300):
+            self.assertRaises(Unclear, read_agent, bad)
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.binary(max_size=80))
+    def test_any_bytes_are_read_or_refused(self, data: bytes) -> None:
+        with contextlib.suppress(Unclear):
+            self.assertTrue((read_agent(data).weight or 0.0) >= 0.0)
+
+
+class LimitStories(unittest.TestCase):
+    def test_a_flood_gains_no_say_and_costs_its_neighbours_nothing(self) -> None:
+        limits, taken = Limits(10.0, 5, 1000.0), Counter[str]()
+        for tick in range(10 * SECOND // 10):
+            now = tick * 10
+            for _ in range(5):  # 5,000 a second
+                taken["flood"] += limits.take("flood", now) is Taken.YES
+            if tick % 200 == 0:
+                for k in range(20):
+                    taken[f"s{k}"] += limits.take(f"s{k}", now) is Taken.YES
+        self.assertLessEqual(taken["flood"], 10 * 10 + 5)
+        self.assertEqual({taken[f"s{k}"] for k in range(20)}, {50})
+        self.assertEqual(limits.heavy.top(1)[0][0], "flood")
+
+    def test_when_all_send_too_much_each_gets_the_same(self) -> None:
+        limits, taken, draw = Limits(100.0, 5, 500.0), Counter[str](), Random(1).random
+        for tick in range(5 * SECOND // 10):
+            for k in range(100):
+                if draw() < (0.5 if k else 1.0):
+                    taken[f"s{k}"] += limits.take(f"s{k}", tick * 10) is Taken.YES
+        self.assertLess(sum(taken.values()), 1.4 * 5 * 500 + 5 * 100)
+        self.assertLessEqual(max(taken.values()) - min(taken.values()), 4)
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.integers(0, 3000), max_size=300))
+    def test_no_sender_is_ever_taken_more_often_than_its_budget(self, gaps: list[int]) -> None:
+        limits, now, taken = Limits(10.0, 5, 1000.0), 0, list[int]()
+        for gap in gaps:
+            now += gap
+            if limits.take("s", now) is Taken.YES:
+                taken.append(now)
+        for start in taken:
+            self.assertLessEqual(sum(start <= at < start + SECOND for at in taken), 10 + 5)
+
+
+reports = st.lists(
+    st.tuples(st.integers(1, 40), st.floats(0, 1)),
+    min_size=1,
+    max_size=30,
+    unique_by=lambda report: report[0],
+)
+
+
+class ReadingStories(unittest.TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(reports, st.randoms(use_true_random=False))
+    def test_any_order_of_the_same_reports_comes_to_the_same(
+        self, some: list[tuple[int, float]], draw: Random
+    ) -> None:
+        values = list[float]()
+        for _ in range(3):
+            reading = Reading()
+            reading.take(1, 1, 0.0, 0.5, 0)  # of all lives the first report comes first
+            for number, load in some:
+                reading.take(1, number + 1, 1000.0 * number, load, SECOND * 100)
+            values.append(reading.value())
+            draw.shuffle(some)
+        self.assertTrue(all(math.isclose(value, values[0], rel_tol=1e-9) for value in values), values)
+
+    def test_repeats_and_former_lives_do_not_count_and_a_restart_begins_anew(self) -> None:
+        reading = Reading()
+        self.assertIs(reading.take(5, 100, 0.0, 0.9, 0), Order.NEW)
+        self.assertIs(reading.take(5, 100, 0.0, 0.1, 1), Order.REPEATED)
+        self.assertIs(reading.take(5, 99, 0.0, 0.9, 1), Order.LATE)
+        self.assertIs(reading.take(6, 1, 0.0, 0.2, 2), Order.NEW)
+        self.assertIs(reading.take(5, 101, 9.0, 0.9, 3), Order.OLD_LIFE)
+        self.assertEqual(reading.value(), 0.2)
+        self.assertIs(reading.take(5, 102, 9.0, 0.9, GONE + 3), Order.NEW)  # its clock was set back
+
+    def test_readings_of_no_number_and_from_the_future_do_not_count(self) -> None:
+        reading = Reading()
+        reading.take(1, 1, 0.0, 0.5, SECOND)
+        for load in (math.nan, math.inf, -1.0, 1e9):
+            self.assertIs(reading.take(1, 2, 1.0, load, SECOND), Order.UNREAL)
+        self.assertIs(reading.take(1, 2, 3600.0 * SECOND, 0.0, 2 * SECOND), Order.UNREAL)
+        self.assertEqual(reading.value(), 0.5)
+
+    def test_a_stale_reading_says_less_and_then_nothing(self) -> None:
+        reading = Reading()
+        self.assertEqual(reading.say(0), 0.0)
+        reading.take(1, 1, 0.0, 0.5, SECOND)
+        says = [reading.say(SECOND + age) for age in (0, STALE, (STALE + GONE) // 2, GONE, 9 * GONE)]
+        self.assertEqual(says, [1.0, 1.0, 0.5, 0.0, 0.0])
+
+    def test_after_hours_of_silence_the_sums_are_still_numbers(self) -> None:
+        reading = Reading()
+        reading.take(1, 1, 0.0, 0.5, 0)
+        reading.take(1, 2, 36_000.0 * SECOND, 0.9, 36_000 * SECOND)
+        self.assertAlmostEqual(reading.value(), 0.9)
+
+
+class HintStories(unittest.TestCase):
+    def play(
+        self, tell: dict[str, float], truth: dict[str, float], periods: int = 60
+    ) -> tuple[Hints, dict[str, float]]:
+        """Loads as told; latencies follow the true loads."""
+        hints, mean = Hints(), sum(truth.values()) / len(truth)
+        found = dict[str, float]()
+        for _ in range(periods):
+            found = hints.period(
+                {name: (load, 1.0) for name, load in tell.items()},
+                {name: load / mean for name, load in truth.items()},
+            )
+        return hints, found
+
+    def test_true_reports_move_weights_within_their_bound(self) -> None:
+        truth = {"a": 0.4, "b": 0.5, "c": 0.5, "d": 0.9}
+        hints, found = self.play(truth, truth)
+        self.assertGreater(found["a"], 1.05)
+        self.assertLess(found["d"], 0.9)
+        self.assertTrue(all(abs(hint - 1) <= FAR + 1e-9 for hint in found.values()))
+        self.assertGreater(hints.worth("d"), 0.5)
+
+    def test_a_liar_that_is_always_idle_gains_nothing(self) -> None:
+        truth = {"a": 0.5, "b": 0.5, "c": 0.5, "liar": 0.8}
+        hints, found = self.play({**truth, "liar": 0.0}, truth)
+        self.assertLess(hints.worth("liar"), 0.05)
+        self.assertLess(found["liar"], 1.01)
+
+    def test_when_all_reports_stop_weights_go_back_slowly(self) -> None:
+        truth = {"a": 0.4, "b": 0.5, "c": 0.5, "d": 0.9}
+        hints, before = self.play(truth, truth)
+        after = hints.period({}, {})
+        self.assertTrue(all(abs(after.get(name, 1.0) - before[name]) <= STEP + 1e-9 for name in before))
+        for _ in range(20):
+            after = hints.period({}, {})
+        self.assertEqual(set(after.values()) - {1.0}, set())
+
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.lists(
+            st.dictionaries(st.sampled_from("abcdef"), st.tuples(st.floats(0, 100), st.floats(0, 1))),
+            max_size=30,
+        )
+    )
+    def test_whatever_is_sent_the_say_is_bounded(self, story: list[dict[str, tuple[float, float]]]) -> None:
+        hints, before = Hints(), dict[str, float]()
+        for loads in story:
+            found = hints.period(loads, dict.fromkeys(loads, 1.3))
+            for name, hint in found.items():
+                self.assertLessEqual(abs(hint - 1.0), FAR + 1e-9)
+                self.assertLessEqual(abs(hint - before.get(name, 1.0)), STEP + 1e-9)
+            before = found
+
+
+if __name__ == "__main__":
+    unittest.main()
