--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -167,9 +167,9 @@
             )  # from sums given to the module to the message they led to
             close, message, told = manager.reports.close, manager.core.message, [0]
 
-            def closed() -> list[Any]:
+            def closed(hints: Any = None) -> list[Any]:
                 told[0] = tenths(reactor)
-                return close()
+                return close(hints)
 
             def sent(now: int, port: Any) -> Message:
                 made = message(now, port)
--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -37,7 +37,7 @@
 
     def forget(self, factor: float = 1.0, heard: int = 0) -> None:
         """Its record starts anew, with a part of its listed weight and so many reports taken as heard."""
-        self.factor, self.pace, self.heard = factor, 1.0, heard
+        self.factor, self.pace, self.heard, self.hint = factor, 1.0, heard, 1.0  # hint: of its own reports
         self.tries: dict[str, Ring] = {}  # by zone of the proxies
         self.bad_probes = self.good_probes = 0
 
@@ -183,11 +183,13 @@
             server.heard += s >= 5
             step = max(0.1, 1 / (1 + server.heard))
             server.pace += step * (min(2.0, 1 / ratio) - server.pace) * (s >= 5)
-            aim = min(1.6 if self.ramp(server) >= 1 else 1.0, max(0.3, server.pace))
+            aim = min(1.6 if self.ramp(server) >= 1 else 1.0, max(0.3, server.pace * server.hint))
             server.factor += max(-step, min(step, aim - server.factor))
 
     def tries(self, event: Tries[Server]) -> None:
         settled = event.many - event.voided
+        # Bounded and weighed by whoever takes reports in; a wire that has none gives no hint.
+        event.worker.hint = event.load.get("hint", 1.0)
         event.worker.tries.setdefault(event.zone, Ring(SECOND, 12, 5)).add(
             self._host.now(), event.many, event.voided, settled, settled * event.mean, event.covers)
 
--- a/rushladder/conf/grammar.py
+++ b/rushladder/conf/grammar.py
@@ -181,6 +181,20 @@
     return inet(word)
 
 
+def host(word: str) -> str:
+    """An IPv4 or IPv6 address without a port."""
+    if re.fullmatch(r"\d{1,3}(?:\.\d{1,3}){3}|[0-9a-fA-F:]{2,39}", word):
+        return word
+    raise Unreadable(f"'{word}' is no address; an IPv4 or IPv6 address without a port is allowed")
+
+
+def token(word: str) -> bytes:
+    """A secret of 8 to 64 bytes, in hexadecimal."""
+    if re.fullmatch(r"(?:[0-9a-fA-F]{2}){8,64}", word):
+        return bytes.fromhex(word)
+    raise Unreadable("a token that can't be read; 16 to 128 hexadecimal digits are allowed")
+
+
 def inet(word: str) -> Address:
     match = re.fullmatch(r"(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:.]+\]):(\d{1,5})", word)
     if match and 0 < int(match[2]) < 65_536 and all(int(b) < 256 for b in match[1].split(".") if b.isdigit()):
--- a/rushladder/conf/objects.py
+++ b/rushladder/conf/objects.py
@@ -50,6 +50,9 @@
     cell: int = 0
     limit: float = 0.0
     connections: int = 0
+    reports_from: str = ""  # the address that its load reports come from
+    token: bytes = b""
+    agent: Address | None = None  # where it answers agent checks
 
 
 @attrs.frozen
@@ -95,9 +98,11 @@
     may_probe: bool
     holding: Holding
     list_file: str
+    blind: bool  # load reports are taken at their word; for measuring
     guard: str  # on, no-waves (admission only) or off; the last two are for measuring
     gateways: tuple[GatewaySite, ...]
     collectors: tuple[CollectorSite, ...]
     peers: tuple[PeerSite, ...]
     peer_listener: Address | None
     listeners: tuple[Listener, ...]
+    report_listeners: tuple[tuple[str, Address], ...] = ()  # `udp` or `tcp`, and where
--- a/rushladder/conf/reader.py
+++ b/rushladder/conf/reader.py
@@ -15,6 +15,7 @@
     Unreadable,
     address,
     duration,
+    host,
     inet,
     name,
     number,
@@ -22,6 +23,7 @@
     part,
     read_lines,
     text,
+    token,
     whole,
 )
 from rushladder.conf.objects import (
@@ -94,6 +96,9 @@
             "messages": Directive((whole(4, 100_000),), {"per": duration}, usage="messages COUNT per TIME"),
             "levels": Directive((one_of(UNITS),), usage="levels ratio|rate|off"),
             "probes": Directive((one_of(SWITCH),), usage="probes on|off"),
+            "reports-trust": Directive(
+                (one_of({"earned": False, "blind": True}),), usage="reports-trust earned|blind"
+            ),
             "guard": Directive((one_of({k: k for k in GUARDS}),), usage="guard on|no-waves|off"),
             "poll": Directive((duration,), usage="poll TIME"),
             "takeover": Directive((duration,), usage="takeover TIME"),
@@ -134,6 +139,8 @@
             "model": Directive((name,), usage="model NAME"),
             "size": Directive((number(0.001, 1000),), usage="size NUMBER"),
             "cell": Directive((whole(0, 65_535),), usage="cell NUMBER"),
+            "reports": Directive((host,), {"token": token}, usage="reports ADDRESS token HEX"),
+            "agent": Directive((inet,), usage="agent ADDRESS:PORT"),
             "limit": Directive((number(0.1, 1e6, "/s"),), usage="limit RATE/s"),
             "connections": Directive((whole(1, 10_000_000),), usage="connections COUNT"),
         }
@@ -148,6 +155,7 @@
                 usage="bind unix@PATH|ADDRESS:PORT [level user|operator|admin]",
             ),
             "peers": Directive(usage="peers"),
+            "reports": Directive((one_of({"udp": "udp", "tcp": "tcp"}),), usage="reports udp|tcp"),
         }
     ),
 }
@@ -339,7 +347,11 @@
         where: Address | None = section.one(place)
         if where is None:
             continue
-        kind = "udp" if section.kind == "peer" or section.one("peers") else "stream"
+        kind = (
+            "udp"
+            if section.kind == "peer" or section.one("peers") or section.one("reports") == "udp"
+            else "stream"
+        )
         key = (kind, str(where))
         if key in seen:
             faults.append(
@@ -359,7 +371,7 @@
     listeners = [
         Listener(s.name, s.one("bind"), s.option("bind", "level", Level.OPERATOR))
         for s in of("listen")
-        if not s.one("peers")
+        if not s.one("peers") and not s.one("reports")
     ]
     holding = Holding()
     return Plan(
@@ -412,6 +424,7 @@
             manager.one("patience", holding.patience),
         ),
         list_file=manager.one("list-file", ""),
+        blind=manager.one("reports-trust", False),
         guard=manager.one("guard", "on"),
         gateways=tuple(
             GatewaySite(s.name, s.one("region"), s.one("socket"), s.one("usual", 10.0)) for s in of("gateway")
@@ -426,10 +439,14 @@
                 s.one("cell", 0),
                 s.one("limit", 0.0),
                 s.one("connections", 0),
+                s.one("reports", ""),
+                s.option("reports", "token", b""),
+                s.one("agent"),
             )
             for s in of("collector")
         ),
         peers=tuple(PeerSite(s.name, names.index(s.name), s.one("address")) for s in of("peer")),
         peer_listener=next((s.one("bind") for s in of("listen") if s.one("peers")), None),
         listeners=tuple(listeners),
+        report_listeners=tuple((s.one("reports"), s.one("bind")) for s in of("listen") if s.one("reports")),
     )
--- a/rushladder/core/reports.py
+++ b/rushladder/core/reports.py
@@ -51,7 +51,7 @@
     def left(self, gateway: Gateway) -> None:
         self._came = {key: sums for key, sums in self._came.items() if key[0] is not gateway}
 
-    def close(self) -> list[Event]:
+    def close(self, hints: Mapping[str, float] | None = None) -> list[Event]:
         """The period's events. Their time is such that many over time is the sum of the gateways' rates."""
         events: list[Event] = []
         for (server, zone), (many, voided, time, rate) in self._sums.items():
@@ -65,6 +65,7 @@
                         int(voided),
                         max(1, round(many / rate)),
                         round(time / settled) if settled else 0,
+                        {"hint": hints[server.name]} if hints and server.name in hints else {},
                     )
                 )
         for (gateway, product), (many, voided, span) in self._came.items():
--- a/rushladder/intake/desk.py
+++ b/rushladder/intake/desk.py
@@ -67,8 +67,10 @@
 class Desk:
     """own, burst: reports a second of one server, and at once; all_: of all together."""
 
-    def __init__(self, now: int, own: float = 5.0, burst: int = 5, all_: float = 2000.0) -> None:
-        self.limits, self.hints = Limits(own, burst, all_), Hints()
+    def __init__(
+        self, now: int, own: float = 5.0, burst: int = 5, all_: float = 2000.0, blind: bool = False
+    ) -> None:
+        self.limits, self.hints = Limits(own, burst, all_), Hints(blind)
         self.counts = dict.fromkeys(Fate, 0)
         self._by_address, self.senders = dict[str, Sender](), dict[str, Sender]()
         self._expiry = Wheel[str](TICK, now)
--- a/rushladder/intake/hints.py
+++ b/rushladder/intake/hints.py
@@ -38,8 +38,9 @@
 class Hints:
     """One trust a server; bounded by the servers that report."""
 
-    def __init__(self) -> None:
+    def __init__(self, blind: bool = False) -> None:
         self._trust = dict[str, Trust]()
+        self._blind = blind  # takes every report at its word: for measuring what doubt is worth
 
     def period(
         self, loads: Mapping[str, tuple[float, float]], latency: Mapping[str, float]
@@ -58,8 +59,10 @@
             if middle is not None and say > 0:
                 fuller = (max(load, FLOOR)) / max(middle, FLOOR)
                 self._learn(trust, fuller, latency.get(name), say)
-                wanted = 1.0 + trust.worth() * say * min(FAR, max(-FAR, 1.0 / fuller - 1.0))
-            trust.hint += min(STEP, max(-STEP, wanted - trust.hint))
+                worth, far = (1.0, 0.9) if self._blind else (trust.worth(), FAR)
+                wanted = 1.0 + worth * say * min(far, max(-far, 1.0 / fuller - 1.0))
+            step = 1.0 if self._blind else STEP
+            trust.hint += min(step, max(-step, wanted - trust.hint))
         for name in [name for name, trust in self._trust.items() if name not in loads and trust.hint == 1.0]:
             del self._trust[name]
         return {name: trust.hint for name, trust in self._trust.items()}
--- a/rushladder/intake/ports.py
+++ b/rushladder/intake/ports.py
@@ -41,7 +41,7 @@
     def stringReceived(self, string: bytes) -> None:
         fate = self._desk.report(self._transport().getPeer().host, string, tenths(self._clock))
         if fate in (Fate.OVER_OWN, Fate.OVER_ALL):
-            self.pauseProducing()
+            self.pauseProducing()  # type: ignore[no-untyped-call]
             self._clock.callLater(PAUSE, self._again)
         elif fate in (Fate.STRANGER, Fate.FORGED, Fate.MALFORMED):
             self._transport().abortConnection()
@@ -52,7 +52,7 @@
 
     def _again(self) -> None:
         if self.connected:
-            self.resumeProducing()
+            self.resumeProducing()  # type: ignore[no-untyped-call]
 
 
 class Streams(protocol.ServerFactory):
--- a/rushladder/service/api.py
+++ b/rushladder/service/api.py
@@ -425,6 +425,42 @@
             f"txns={wave.watch.seen:.0f} sure_worse={wave.watch.sureness():.3f}\n"
         )
 
+    # Load reports.
+
+    def load(self, words: tuple[str, ...]) -> str:
+        desk, now = self._manager.desk, tenths(self._manager.clock)
+        if len(words) > 2 and words[2] not in desk.senders:
+            raise Refused("No such server that reports.")
+        rows = [
+            [
+                name,
+                f"{one.reading.value():.3f}",
+                f"{(now - one.reading.heard) / TENTHS:.1f}",
+                f"{one.reading.say(now):.2f}",
+                f"{desk.hints.worth(name):.2f}",
+                f"{desk.given.get(name, 1.0):.3f}",
+                one.reading.boot,
+                one.reading.newest,
+                one.agent.why if one.agent else "",
+            ]
+            for name, one in desk.senders.items()
+            if one.reading.boot >= 0 and words[2:3] in ((), (name,))
+        ]
+        return csv(("svname", "load", "age_s", "say", "worth", "hint", "boot", "number", "why"), rows)
+
+    def intake(self, words: tuple[str, ...]) -> str:
+        desk, now = self._manager.desk, tenths(self._manager.clock)
+        loads, ages = desk.spread(now)
+        text = "".join(f"{fate.name}: {many}\n" for fate, many in desk.counts.items())
+        for what, sketch in (("load", loads), ("age_s", ages)):
+            text += "".join(
+                f"{what}_p{round(100 * part)}: {sketch.quantile(part):.3f}\n" for part in (0.5, 0.9, 0.99)
+            )
+        return text + "".join(
+            f"heavy: {sender} {count} dropped, over by {over} at most\n"
+            for sender, count, over in desk.limits.heavy.top(5)
+        )
+
     # Changes of the list.
 
     def _name(self, word: str) -> str:
--- a/rushladder/service/manager.py
+++ b/rushladder/service/manager.py
@@ -19,6 +19,7 @@
 from rushladder.gateways.driver import GatewayDriver, Log, Times
 from rushladder.gateways.holding import Holding
 from rushladder.guard.waves import Effect
+from rushladder.intake.desk import Desk
 from rushladder.interface import Event, Listing, PeerWord, Probed, ProbeResult
 from rushladder.runtime.endpoint import RuntimeClient
 from rushladder.timing import TENTHS, Call, Clock, tenths
@@ -89,6 +90,8 @@
                 listed.limit, listed.connections = site.limit, site.connections
         self.saved = self.roster.version
         self.reports, self.words = Reports(), deque[Words](maxlen=1)
+        self.desk = Desk(now, blind=plan.blind)
+        self._reporters()
         self.core = Core(
             plan.identity.seed * 1000 + plan.identity.number,
             self.roster,
@@ -193,11 +196,31 @@
                     gateways=len(wave.changed),
                     sure=round(wave.watch.sureness(), 4),
                 )
-            self.give(*self.reports.close())
+            self.give(*self.reports.close(self._hints()))
             faults, self.core.warden.faults = self.core.warden.faults, []
             for what in faults:
                 self.fault(what)
 
+    def _hints(self) -> dict[str, float]:
+        """What servers' own reports say, against what was measured; empty where none reports."""
+        now = tenths(self.clock)
+        if not self.desk.senders:
+            return {}
+        seen = {name: listed.server.seen(now, 4) for name, listed in self.roster.listed.items()}
+        settled, time = (sum(sums[k] for sums in seen.values()) for k in (2, 3))
+        mean = time / settled if settled else 0.0
+        latency = {name: sums[3] / sums[2] / mean for name, sums in seen.items() if sums[2] >= 5 and mean}
+        return self.desk.period(latency, now)
+
+    def _reporters(self) -> None:
+        """Who may report, as the list and the configuration say."""
+        sites = {site.name: site for site in self.plan.collectors if site.reports_from or site.agent}
+        for name in [name for name in self.desk.senders if name not in self.roster.listed]:
+            self.desk.forget(name)
+        for name, site in sites.items():
+            if name in self.roster.listed:
+                self.desk.listed(name, site.reports_from or f"agent of {name}", site.token)
+
     def _probe(self, server: Server) -> None:
         listed = self.roster.listed.get(server.name)
         # One probe of a server at a time: a slower answer than a beat says enough when it comes.
@@ -224,6 +247,7 @@
                 version=event.version,
                 servers=[f"{entry.worker.name}={entry.availability.name}" for entry in event.entries][:20],
             )
+            self._reporters()
             self.give(event)
 
     def told(self, event: str, **more: Any) -> None:
--- a/rushladder/service/run.py
+++ b/rushladder/service/run.py
@@ -15,6 +15,9 @@
 
 from rushladder.conf.grammar import Address
 from rushladder.conf.objects import GatewaySite, LogForm, Plan
+from rushladder.intake.agent import Agent
+from rushladder.intake.ports import AgentCheck, Datagrams, Streams
+from rushladder.interface import Availability
 from rushladder.peers.link import PeerLink
 from rushladder.runtime.endpoint import RuntimeClient, RuntimeFactory
 from rushladder.service.api import verbs
@@ -24,6 +27,8 @@
 
 reactor: Any = _reactor
 SAVE_EVERY = 0.2  # s between two looks at whether the list has changed: many changes become one write
+AGENT_EVERY = 2.0  # s between two agent checks of a server: its answer counts as fresh for five
+AGENT_STATES = {"ready": Availability.READY, "drain": Availability.DRAINING, "maint": Availability.GONE}
 DIAL_MOST = 1.0  # s for a connection to a gateway's socket
 
 
@@ -123,6 +128,14 @@
             )
             reactor.listenUDP(self._plan.peer_listener.port, link, interface=self._plan.peer_listener.host)
             self.manager.words.append(link)
+        for kind, where in self._plan.report_listeners:
+            if kind == "udp":
+                reactor.listenUDP(where.port, Datagrams(self.manager.desk, reactor), interface=where.host)
+            else:
+                await server_endpoint(where).listen(Streams(self.manager.desk, reactor))
+        for site in self._plan.collectors:
+            if site.agent is not None:
+                self._ask(site.name, site.agent)
         reactor.addSystemEventTrigger("before", "shutdown", self.stop)
         self.manager.start()
         self._save()
@@ -134,6 +147,24 @@
             restored=self.manager.restored,
         )
 
+    def _ask(self, name: str, where: Address) -> None:
+        """One agent check, and the next after a while, whatever became of it."""
+        check = AgentCheck()
+
+        def said(answer: Agent) -> None:
+            self.manager.desk.asked(name, answer, tenths(reactor))
+            state = AGENT_STATES.get(answer.admin or "")
+            if state is not None and name in self.manager.roster.listed:
+                self.manager.listing(self.manager.roster.change(name, tenths(reactor), availability=state))
+
+        def unsaid(failure: Any) -> None:
+            self.manager.fault(f"agent check of {name}: {failure.value}")
+
+        asked: Deferred[Any] = endpoints.connectProtocol(client_endpoint(where), check)
+        asked.addCallback(lambda _: check.answer.addTimeout(DIAL_MOST, reactor))
+        asked.addCallbacks(said, unsaid)
+        reactor.callLater(AGENT_EVERY, self._ask, name, where)
+
     def stop(self) -> None:
         self.manager.stop()
 
--- a/rushladder/standins/collector.py
+++ b/rushladder/standins/collector.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import deque
 from collections.abc import Callable
 from random import Random
@@ -13,8 +14,10 @@
 
 import attrs
 from twisted.internet import endpoints
+from twisted.internet.protocol import DatagramProtocol
 from twisted.web import resource, server
 
+from rushladder.intake.orca_pb2 import Envelope, OrcaLoadReport
 from rushladder.runtime.endpoint import Level, Refused, Verb, Verbs
 from rushladder.runtime.grammar import Command
 from rushladder.standins.record import Record
@@ -33,6 +36,10 @@
     fall_multiple: float
     fall_for: float
     starts: bool = True
+    reports: str = ""  # true, idle, stuck or flood; empty: none
+    address: str = ""  # that its reports come from
+    token: str = ""
+    managers: tuple[int, ...] = ()  # ports to report to
 
 
 @attrs.define(eq=False)
@@ -57,6 +64,8 @@
         self._slow, self._fails, self._hangs, self._shakes = 1.0, 0.0, False, 0.0
         self._started, self._life = -1e9, 0
         self._port: Any = None
+        self._wire: Any = None
+        self._told, self._boot, self._begun = 0, 0, reactor.seconds()
         self._channels = set[Any]()
 
     # Its life.
@@ -84,6 +93,31 @@
         site.buildProtocol = noted
         self._port = self._reactor.listenTCP(self.build.port, site, interface="127.0.0.1", backlog=200)
         self._record.note("start", name=self.build.name, warm=warm)
+        if self.build.reports:
+            if self._wire is None:
+                self._wire = self._reactor.listenUDP(0, DatagramProtocol(), interface=self.build.address)
+            self._told, self._boot = 0, int(time.time() * 1000)
+            self._report(self._life)
+
+    def _report(self, life: int) -> None:
+        """Twice a second; a flooder a hundred times as often."""
+        if life != self._life or self._wire is None:
+            return
+        how, self._told = self.build.reports, self._told + 1
+        load = (self._busy + len(self._queue)) / self.build.cores
+        load = {"idle": 0.0, "stuck": 0.5, "flood": 0.0}.get(how, load)
+        uptime = int(1000 * (self._reactor.seconds() - self._begun))
+        data = Envelope(
+            server=self.build.name,
+            token=bytes.fromhex(self.build.token),
+            boot=self._boot,
+            number=self._told,
+            uptime=uptime,
+            report=OrcaLoadReport(application_utilization=min(100.0, load), cpu_utilization=load),
+        ).SerializeToString()
+        for port in self.build.managers:
+            self._wire.write(data, ("127.0.0.1", port))
+        self._reactor.callLater(0.005 if how == "flood" else 0.5, self._report, life)
 
     def crash(self, why: str) -> None:
         if self._port is None:
--- a/rushladder/trials/day.py
+++ b/rushladder/trials/day.py
@@ -24,12 +24,14 @@
     duration,
     name,
     number,
+    one_of,
     part,
     read_lines,
     whole,
 )
 
 PER_S = 1000 * PER_MS
+REPORTS = {how: how for how in ("true", "idle", "stuck", "flood")}
 SECTIONS = ("day", "product", "manager", "gateway", "collector", "events")
 # Who -> what can happen to it -> how many arguments, and whether it ends by itself with `for`.
 HAPPENINGS: dict[str, dict[str, tuple[int, bool]]] = {
@@ -92,6 +94,7 @@
     size: float = 1.0
     model: str = "any"
     absent: bool = False
+    reports: str = ""  # how it tells of its load: true, idle, stuck or flood
 
 
 @attrs.frozen
@@ -215,7 +218,7 @@
     def _site(self, kind: str, title: str, lines: Sequence[Line]) -> None:
         said = {line.words[0]: (*line.words[1:], "") for line in lines}
         for line in lines:
-            if line.words[0] not in ("region", "cores", "speed", "size", "model", "absent"):
+            if line.words[0] not in ("region", "cores", "speed", "size", "model", "absent", "reports"):
                 self.fault(
                     line,
                     f"'{line.words[0]}' can't stand here; region, cores, speed, size, model and absent "
@@ -230,6 +233,7 @@
                 number(0.01, 100)(said.get("size", ("1",))[0]),
                 name(said.get("model", ("any",))[0]),
                 "absent" in said,
+                one_of(REPORTS)(said["reports"][0]) if "reports" in said else "",
             )
         )
 
--- a/rushladder/trials/play.py
+++ b/rushladder/trials/play.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import hashlib
 import json
 import os
 import signal
@@ -44,6 +45,9 @@
         self._record = Record(str(folder / "trial.jsonl"), "trial")
         ports = iter(free_ports(len(day.collectors) + len(day.gateways) + len(day.managers)))
         self._port = {site.name: next(ports) for site in (*day.collectors, *day.gateways, *day.managers)}
+        reporters = [site.name for site in day.collectors if site.reports]
+        self._from = {name: f"127.0.1.{k + 1}" for k, name in enumerate(reporters)}
+        self._reports = dict(zip((m.name for m in day.managers), free_ports(len(day.managers)), strict=True))
         self._todo = list[tuple[float, int, Callable[[], None]]]()
         self._zero = 0.0
         self._still = set[str]()  # processes that are killed or stopped just now
@@ -57,6 +61,10 @@
     def _address(self, site: Site) -> str:
         return f"127.0.0.1:{self._port[site.name]}"
 
+    @staticmethod
+    def _token(site: Site) -> str:
+        return hashlib.sha256(site.name.encode()).hexdigest()[:32]
+
     def _plan(self, manager: Site) -> str:
         day = self.day
         lines = [
@@ -86,11 +94,22 @@
                     f"    region {site.region}",
                     f"    address {self._address(site)}",
                     f"    model {site.model}",
+                    *(
+                        [f"    reports {self._from[site.name]} token {self._token(site)}"]
+                        if site.reports
+                        else []
+                    ),
                     f"    size {site.size:g}",
                 ]
         for site in day.managers:
             if site is not manager:
                 lines += [f"peer {site.name}", f"    address {self._address(site)}"]
+        if self._from:
+            lines += [
+                "listen reports",
+                f"    bind 127.0.0.1:{self._reports[manager.name]}",
+                "    reports udp",
+            ]
         lines += [
             "listen words",
             f"    bind {self._address(manager)}",
@@ -116,6 +135,10 @@
                 "fall_multiple": float(day.figure("fall", otherwise="2.5x").rstrip("x")),
                 "fall_for": _seconds(day.figure("fall", "for", "2s")),
                 "starts": not s.absent,
+                "reports": s.reports,
+                "address": self._from.get(s.name, ""),
+                "token": self._token(s),
+                "managers": list(self._reports.values()),
             }
             for s in day.collectors
         ]
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -9,9 +9,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from twisted.internet.address import IPv4Address
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
 from rushladder.intake.agent import Agent, Unclear, read_agent
+from rushladder.intake.desk import Desk, Fate
 from rushladder.intake.hints import FAR, STEP, Hints
 from rushladder.intake.limits import Limits, Taken
+from rushladder.intake.orca_pb2 import Envelope, OrcaLoadReport
+from rushladder.intake.ports import Streams
 from rushladder.intake.readings import GONE, STALE, Order, Reading
 from rushladder.structures.hitters import Hitters
 from rushladder.structures.quantiles import Quantiles
@@ -182,6 +189,93 @@
         self.assertAlmostEqual(reading.value(), 0.9)
 
 
+class DeskStories(unittest.TestCase):
+    def setUp(self) -> None:
+        self.desk = Desk(0)
+        for k in range(4):
+            self.desk.listed(f"s{k}", f"127.0.1.{k}", bytes([k]) * 8)
+
+    def word(self, k: int, number: int, load: float, boot: int = 1, claims: int | None = None) -> bytes:
+        who = k if claims is None else claims
+        return Envelope(
+            server=f"s{who}",
+            token=bytes([k]) * 8,
+            boot=boot,
+            number=number,
+            uptime=1000 * number,
+            report=OrcaLoadReport(cpu_utilization=load),
+        ).SerializeToString()
+
+    def test_each_fate_is_counted(self) -> None:
+        fates = [
+            self.desk.report(address, data, SECOND)
+            for address, data in (
+                ("127.0.1.0", self.word(0, 1, 0.5)),
+                ("127.0.1.0", self.word(0, 1, 0.5)),
+                ("127.0.1.9", self.word(0, 2, 0.5)),
+                ("127.0.1.1", self.word(0, 2, 0.5)),
+                ("127.0.1.1", self.word(1, 2, 0.5, claims=2)),
+                ("127.0.1.1", b"\xff" * 30),
+                ("127.0.1.1", b"x" * 5000),
+                ("127.0.1.2", self.word(2, 1, math.nan)),
+            )
+        ]
+        self.assertEqual(
+            fates,
+            [
+                Fate.TAKEN,
+                Fate.REPEATED,
+                Fate.STRANGER,
+                Fate.FORGED,
+                Fate.FORGED,
+                Fate.MALFORMED,
+                Fate.OVERSIZED,
+                Fate.UNREAL,
+            ],
+        )
+        self.assertEqual(sum(self.desk.counts.values()), 8)
+
+    def test_a_flood_is_turned_away_before_it_is_read_and_memory_stays(self) -> None:
+        data = self.word(0, 1, 0.0)
+        for turn in range(50_000):
+            self.desk.report("127.0.1.0", data, SECOND + turn // 10)
+            self.desk.report(f"10.0.{turn % 250}.{turn // 250}", data, SECOND + turn // 10)
+        self.assertEqual((len(self.desk.senders), len(self.desk._expiry)), (4, 1))
+        self.assertLess(self.desk.counts[Fate.REPEATED], 30)
+        self.assertGreater(self.desk.counts[Fate.OVER_OWN], 49_900)
+
+    def test_readings_that_end_stop_steering_and_are_forgotten(self) -> None:
+        for second in range(1, 40):
+            for k, load in enumerate((0.2, 0.5, 0.5, 0.9)):
+                self.desk.report(f"127.0.1.{k}", self.word(k, second, load), second * SECOND)
+            hints = self.desk.period({"s0": 0.4, "s1": 1.0, "s2": 1.0, "s3": 1.7}, second * SECOND)
+        self.assertLess(hints["s3"], 0.95)
+        for second in range(40, 80):
+            hints = self.desk.period({}, second * SECOND)
+        self.assertEqual(hints, {})
+        self.assertTrue(all(sender.reading.boot < 0 for sender in self.desk.senders.values()))
+
+    def test_agent_checks_say_the_same_in_their_own_words(self) -> None:
+        for second in range(1, 9):
+            self.desk.asked("s1", read_agent(b"up 30%"), second * SECOND)
+        self.assertAlmostEqual(self.desk.senders["s1"].reading.value(), 0.7)
+
+    def test_a_stream_over_its_budget_is_not_read_for_a_while(self) -> None:
+        clock, wire = Clock(), StringTransport(peerAddress=IPv4Address("TCP", "127.0.1.0", 9))
+        clock.advance(5)
+        stream = Streams(self.desk, clock).buildProtocol(None)
+        assert stream is not None
+        stream.makeConnection(wire)
+        for number in range(1, 20):
+            word = self.word(0, number, 0.5)
+            stream.dataReceived(len(word).to_bytes(4, "big") + word)
+        self.assertEqual(wire.producerState, "paused")
+        clock.pump([0.25] * 20)  # what was buffered is read as its budget allows
+        self.assertEqual((wire.producerState, self.desk.counts[Fate.TAKEN] < 19), ("producing", True))
+        stream.dataReceived((99_999).to_bytes(4, "big"))
+        self.assertTrue(wire.disconnected)
+
+
 class HintStories(unittest.TestCase):
     def play(
         self, tell: dict[str, float], truth: dict[str, float], periods: int = 60
