--- a/rushladder/intake/hints.py
+++ b/rushladder/intake/hints.py
@@ -2,9 +2,8 @@
 I/O.
 
 A report that a server is fuller than the others predicts that its txns take longer than theirs. Each period
-the prediction is held against the measured latency; the error of predicting by the report, against that of
-predicting nothing, is what the report is worth. A liar, a stuck reading and one that tells of something
-else are worth nothing within some periods.
+the prediction is held against the measured latency; how well the two go together is what the report is
+worth. A liar, a stuck reading and one that tells of something else are worth nothing within some periods.
 """
 
 from __future__ import annotations
@@ -14,25 +13,29 @@
 
 import attrs
 
-FAR = 0.2  # of a weight, either way, at the most: what measured tries say moves it by up to seven tenths
-STEP = 0.02  # a period: ten periods from neutral to the bound, slower than the module's own tenth
-LEARNS = 0.1  # a period, of the memory of errors: ten periods
+FAR = 0.4  # of a weight, either way, at the most: what measured tries say moves it by up to seven tenths
+STEP = 0.05  # a period: eight periods from neutral to the bound, half of the module's own tenth
+LEARNS = 0.2  # a period, of the memory of errors: five periods
+DOUBT = 0.02  # squared, of a logarithm: differences of a seventh are noise, and prove nothing
 FEW = 3  # servers whose reports are fresh, below which there is nothing to compare with
 FLOOR = 0.05  # of load, so that all but idle servers do not differ tenfold
 
 
 @attrs.define
 class Trust:
-    """What one server's reports were worth: squared errors of their predictions, and of predicting
-    nothing."""
+    """How a server's reports went with its measured latency: faded sums of squares and of products, of
+    logarithms."""
 
-    by_report: float = 0.02  # begins a little in doubt: it has to predict better than nothing first
-    by_nothing: float = 0.02
+    both: float = 0.0
+    told: float = DOUBT
+    met: float = DOUBT
     hint: float = 1.0
 
     def worth(self) -> float:
-        """From 0 to 1."""
-        return min(1.0, max(0.0, 1.0 - self.by_report / self.by_nothing)) if self.by_nothing > 0 else 0.0
+        """From 0 to 1: the correlation about the fleet's middle. One that tells too much of the right thing
+        is as good as one that tells it in our scale; one that never moves, or moves the other way, is worth
+        nothing."""
+        return min(1.0, max(0.0, self.both / math.sqrt(self.told * self.met)))
 
 
 class Hints:
@@ -74,5 +77,6 @@
         if measured is None or measured <= 0 or say < 1.0:
             return
         truth, guess = math.log(min(10.0, max(0.1, measured))), math.log(min(10.0, max(0.1, fuller)))
-        trust.by_report += LEARNS * ((truth - guess) ** 2 - trust.by_report)
-        trust.by_nothing += LEARNS * (truth**2 - trust.by_nothing)
+        trust.both += LEARNS * (truth * guess - trust.both)
+        trust.told += LEARNS * (guess**2 + DOUBT - trust.told)
+        trust.met += LEARNS * (truth**2 + DOUBT - trust.met)
