--- a/rushladder/core/host.py
+++ b/rushladder/core/host.py
@@ -10,16 +10,33 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Sequence
-
-
-from rushladder.brain import Gateway, Server
-from rushladder.gateways.difference import server_commands, sweep_commands
+from collections.abc import Callable, Collection, Mapping, Sequence
+from itertools import count
+from random import Random
+from typing import Any
+
+import attrs
+
+from rushladder.brain import Gateway, Manager, Server
+from rushladder.core.pace import Pace
+from rushladder.core.roster import Roster
+from rushladder.gateways.difference import Admin, Held, Key, Line, server_commands, sweep_commands
+from rushladder.gateways.rounding import round_pool
+from rushladder.guard.allotment import allotment
+from rushladder.guard.warden import Warden
+from rushladder.guard.waves import Arm, Effect
 from rushladder.interface import (
     Applied,
+    Availability,
+    Channel,
+    Event,
+    Guarantee,
     LevelUnit,
+    Listing,
+    ListKind,
     Product,
     Proxy,
+    Reminder,
     Retry,
     Worker,
 )
@@ -66,7 +83,278 @@
                 server: weight * factor(product.name, server.name, version)
                 for server, weight in self.good.items()
             }
-            named = (self.roster.listed.get(server) for _, server in lines)
+            cold = {server for server in lines if ramp(server) < 1}
+            found, scale = round_pool(lines, cold, self._scales.get(product, 0.0))
+            self._scales[product] = scale
+            self._rounded = {key: kept for key, kept in self._rounded.items() if key[1] >= version - 1}
+            self._rounded[product, version] = found
+        return found
+
+
+class Port:
+    """One joined gateway: which tables it uses, what it holds, what it is owed, what is on its way."""
+
+    def __init__(self, gateway: Gateway, held: Held, pace: Pace) -> None:
+        self.gateway, self.held, self._pace = gateway, held, pace
+        self.tables = dict[Product, Tbl]()
+        self.owed, self.owed_lines, self.urgent = dict[Product, None](), 0, False
+        self.gates_owed = False
+        self.marks, self.sent_marks = list[int](), list[int]()
+        self.sent_lines, self.sent_at = 0, 0
+        self.messages = 0
+
+    def owe(self, product: Product, urgent: bool = False) -> None:
+        self.owed[product] = None
+        self.owed_lines += 1
+        self.urgent = self.urgent or urgent
+
+    def due(self, now: int) -> int | None:
+        """When the next message may go, or None if nothing is owed or one is on its way."""
+        if self.sent_at or not (self.owed or self.gates_owed or self.marks):
+            return None
+        return self._pace.next(now, self.urgent)
+
+    def went(self, now: int, lines: int) -> None:
+        if lines:
+            self._pace.sent(now)
+            self.messages += 1
+
+
+@attrs.frozen
+class Message:
+    """What one gateway is sent next: server commands in a safe order, and the maps' whole new content."""
+
+    commands: tuple[Command, ...]
+    maps: Mapping[str, Mapping[str, str]]
+
+
+class Core:
+    """One manager without its sockets. `now` of every call is its clock, in tenths of a millisecond."""
+
+    def __init__(
+        self,
+        seed: int,
+        roster: Roster,
+        *,
+        managers: int,
+        zones: Sequence[str],
+        products: Sequence[Product],
+        channel: Channel,
+        guarantee: Guarantee,
+        level_unit: LevelUnit,
+        may_probe: bool,
+        now: int,
+        guard: str = "on",
+        gateways: Sequence[tuple[str, str, float]] = (),
+    ) -> None:
+        self._now, self.roster, self.products, self._channel = now, roster, products, channel
+        self._unit, self._cold_time = level_unit, guarantee.cold_time
+        self._tables, self.withdrawn = dict[int, Tbl](), dict[Server, None]()
+        self.warden, self._changed = Warden(Random(seed).random, guard), dict[Tbl, None]()
+        self._cold_from, self._gateways, self._held = guarantee.cold_from, tuple(gateways), frozenset[str]()
+        self.ports = dict[Gateway, Port]()
+        self._touched, self._ready = dict[Port, None](), dict[Port, None]()
+        self._wakes, self._order = list[tuple[int, int, int]](), count()
+        self.probes, self.words, self.notes = list[Server](), list[bytes](), list[str]()
+        self.applied_in = list[int]()  # order-to-applied times since they were last taken
+        self.manager = Manager(
+            self,
+            seed,
+            managers=managers,
+            zones=tuple(zones),
+            may_probe=may_probe,
+            products=tuple(products),
+            channel=channel,
+            guarantee=guarantee,
+            level_unit=level_unit,
+            asks_list=False,
+            may_tell=managers > 1,
+            slices=0,
+        )
+        for listed in roster.listed.values():
+            self._known(listed.server)
+        self.take(now, roster.full(ListKind.CACHED))
+
+    # What comes in.
+
+    def take(self, now: int, *events: Event) -> None:
+        """One batch of events; whatever reminders are due by `now` come first."""
+        self._now = max(now, self._now)
+        while self._wakes and self._wakes[0][0] <= self._now:
+            self.manager.take(Reminder(heapq.heappop(self._wakes)[2]))
+        for event in events:
+            self.manager.take(event)
+            if isinstance(event, Listing):
+                self._listing(event)
+        self.manager.close()
+        self._judge()
+        self._ready |= self._touched
+        self._touched.clear()
+
+    def take_ready(self) -> list[Port]:
+        """The gateways that something was ordered for since this was last called."""
+        ready, self._ready = list(self._ready), {}
+        return [port for port in ready if self.ports.get(port.gateway) is port]
+
+    def next_wake(self) -> int | None:
+        return self._wakes[0][0] if self._wakes else None
+
+    def joined(self, gateway: Gateway, held: Held) -> Port:
+        """A gateway that this manager holds from now on; the caller gives the module its Joined with
+        `take`."""
+        self.left(gateway)
+        port = Port(gateway, held, Pace(self._channel.message_cap, self._channel.cap_span))
+        self.ports[gateway] = port
+        return port
+
+    def left(self, gateway: Gateway) -> None:
+        port = self.ports.pop(gateway, None)
+        if port is not None:
+            self.warden.left(gateway.name)
+            self._touched.pop(port, None)
+            self._ready.pop(port, None)
+            for tbl in port.tables.values():
+                tbl.ports.pop(port, None)
+
+    def read_back(self, port: Port, held: Held) -> None:
+        """What the gateway really holds: all of it is owed again, as far as it differs."""
+        port.held = held
+        port.sent_at, port.sent_lines = 0, 0
+        port.marks, port.sent_marks = port.sent_marks + port.marks, []
+        for product in port.tables:
+            port.owe(product)
+        port.gates_owed = bool(port.tables)
+
+    def _judge(self) -> None:
+        """Each table that changed passes the guard whole, or stays as it was."""
+        changed, self._changed = self._changed, {}
+        for table in changed:
+            products = list(
+                dict.fromkeys(p for port in table.ports for p, own in port.tables.items() if own is table)
+            )
+            if not products:
+                table.accept()  # nobody uses it yet: it is judged once somebody is bound to it
+                continue
+            lines = {
+                server.name: weight
+                for server, weight in table.lines.items()
+                if server.name in self.warden.book.servers
+            }
+            zone = next(iter(table.ports)).gateway.zone
+            if self.warden.table(str(table.number), products, zone, lines, self._now) is None:
+                table.accept()
+
+    def tell_demand(self) -> None:
+        """The guard hears what comes to each table, as the module has measured it, and which limits are
+        its own."""
+        held = frozenset(gateway.name for gateway in self.ports)
+        if self._gateways and held != self._held:
+            self._held = held
+            servers = {
+                name: listed.server.zone for name, listed in self.roster.listed.items() if listed.limit
+            }
+            self.warden.allot(allotment(servers, self._gateways, held))
+        sums = dict[tuple[Tbl, Product], float]()
+        for port in self.ports.values():
+            for product, table in port.tables.items():
+                many, covers = port.gateway.came[product].total(self._now, 4)
+                rate = 10_000 * many / covers if covers else port.gateway.usual_rate / len(self.products)
+                level = (
+                    table.gates.get(product, (1.0, Retry.UNSENT))[0] if self._unit is LevelUnit.RATIO else 1.0
+                )
+                sums[table, product] = sums.get((table, product), 0.0) + min(1.0, level) * rate
+        for (table, product), rate in sums.items():
+            zone = next(iter(table.ports)).gateway.zone
+            self.warden.demand(str(table.number), product, zone, rate, self._now)
+
+    def watch_wave(self, met: Mapping[str, Sequence[Arm]]) -> Effect:
+        """A period of the wave that is out; gateways that its verdict concerns are owed their lines."""
+        effect = self.warden.period(met, self._now)
+        if effect in (Effect.WIDEN, Effect.UNDO):
+            self.owe_all()
+        return effect
+
+    def using(self, keys: Collection[tuple[str, str]]) -> list[str]:
+        """The gateways whose tables name one of the (product, server) pairs."""
+        found = list[str]()
+        for port in self.ports.values():
+            names = {
+                (product.name, server.name) for product, table in port.tables.items() for server in table.good
+            }
+            if not names.isdisjoint(keys):
+                found.append(port.gateway.name)
+        return found
+
+    def owe_all(self) -> None:
+        """Every gateway's lines may differ from what it holds; a message is only sent where they do."""
+        for port in self.ports.values():
+            for product in port.tables:
+                port.owe(product)
+            self._ready[port] = None
+
+    def _known(self, server: Server) -> None:
+        """The guard's view of a server."""
+        listed = self.roster.listed.get(server.name)
+        if listed is None or listed.server is not server:
+            return self.warden.forget(server.name)
+        ready = listed.availability is Availability.READY and server not in self.withdrawn
+        self.warden.server(
+            server.name,
+            server.zone,
+            server.model,
+            limit=listed.limit,
+            connections=listed.connections,
+            ready=ready,
+            started_at=listed.started_at,
+            cold_time=self._cold_time,
+            cold_from=self._cold_from,
+        )
+
+    def _listing(self, event: Listing[Any]) -> None:
+        for entry in event.entries:
+            self._known(entry.worker)
+        known = {entry.worker for entry in event.entries}
+        for server in [
+            server
+            for server in self.withdrawn
+            if server not in known and server.name not in self.roster.listed
+        ]:
+            if not any(server in tbl.lines for tbl in self._tables.values()):
+                del self.withdrawn[server]  # off the list and in no table: nothing is left to withdraw
+
+    # What goes out.
+
+    def ramp(self, server: Server) -> float:
+        """1 once a server is warm by the list; less before (only whether it is below 1 is used)."""
+        age = self._now - server.started_at
+        return 1.0 if not server.started_at or age >= self._cold_time else age / self._cold_time
+
+    def wanted(self, port: Port, product: Product) -> dict[Key, Line]:
+        """The lines that the gateway should hold for a product, with 0 for what it holds beyond its table."""
+        tbl = port.tables[product]
+        lines = dict[Key, Line]()
+        version = self.warden.version_of(port.gateway.name)
+        for server, weight in tbl.rounded(product, version, self.warden.factor, self.ramp).items():
+            listed = self.roster.listed.get(server.name)
+            if listed is not None and listed.server is server:
+                lines[product.name, server.name] = Line(
+                    listed.address, weight, Admin.DRAIN if server in self.withdrawn else Admin.READY
+                )
+        for (backend, name), line in port.held.lines.items():
+            if backend == product.name and (backend, name) not in lines:
+                known = self.roster.listed.get(name)
+                out = known is None or known.server in self.withdrawn
+                admin = Admin.DRAIN if out and line.admin is Admin.READY else line.admin
+                lines[backend, name] = Line(line.address, 0, admin)
+        return lines
+
+    def message(self, now: int, port: Port) -> Message:
+        """Takes what the gateway is owed. It is on its way until `answered` or `read_back`."""
+        self._now = max(now, self._now)
+        lines = dict[Key, Line]()
+        for product in port.owed:
+            lines |= self.wanted(port, product)
+        named = (self.roster.listed.get(server) for _, server in lines)
         cold = {one.server.name for one in named if one is not None and self.ramp(one.server) < 1}
         commands = server_commands(port.held.lines, lines, cold)
         maps = {
