--- a/rushladder/intake/readings.py
+++ b/rushladder/intake/readings.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-FADES = 10_000.0  # 1 s to fade to 1/e: half the error of 3 s at one to five readings a second, and no more noise
+FADES = 10_000.0  # 1 s to fade to 1/e: half the error of 3 s at one to five readings a second
 WINDOW = 64  # numbers under the newest that may still come: a second of a fast sender, a minute of a slow one
 LANDMARK = 50.0  # e^50 of growth before the sums are scaled down: far from the end of a float's range
 STALE = 50_000  # 5 s of silence: five of a common reporter's periods
