--- a/rushladder/conf/objects.py
+++ b/rushladder/conf/objects.py
@@ -5,6 +5,7 @@
 import attrs
 
 from rushladder.conf.grammar import Address
+from rushladder.gateways.holding import PATIENCE, POLL, TAKEOVER
 from rushladder.interface import Channel, Guarantee, LevelUnit, Product
 from rushladder.runtime.endpoint import Level
 
@@ -79,9 +80,9 @@
     patience: for one answer of a gateway.
     """
 
-    poll: int = 10_000
-    takeover: int = 40_000
-    patience: int = 20_000
+    poll: int = POLL
+    takeover: int = TAKEOVER
+    patience: int = PATIENCE
 
 
 @attrs.frozen
--- a/rushladder/gateways/holding.py
+++ b/rushladder/gateways/holding.py
@@ -65,9 +65,22 @@
     END_CLAIM = "it is lost with all it held; write a claim"
 
 
+POLL = 10_000  # 1 s between two readings: the module's bucket of time
+TAKEOVER = 40_000  # 4 s of silence: three readings missed, and one to spare
+PATIENCE = 20_000  # 2 s for an answer: twice a stall that gateways were seen to make
 HOMING = 100_000  # 10 s: longer than a manager's start takes, so that a flapping one takes nothing back
 
 
+def spans(poll: int) -> tuple[int, int]:
+    """How long a reading is believed, and how long a claim settles, for readings a poll apart.
+
+    A reading outlives one poll and a half, so that one late answer costs nothing; a claim settles later
+    than that, so that whoever acted on an older reading has seen it. Both are shorter than a takeover of
+    four polls.
+    """
+    return poll * 3 // 2, poll * 7 // 4
+
+
 class Holding:
     """One manager's view of one gateway.
 
--- a/rushladder/guard/warden.py
+++ b/rushladder/guard/warden.py
@@ -44,6 +44,7 @@
         self._draw, self._before = draw, dict[str, _Before]()
         self._plain = dict[str, dict[str, float]]()  # pool -> server -> weight as the module decided it
         self._stated, self._parts = dict[str, float](), dict[str, float]()
+        self._gone = dict[str, None]()  # off the list, and not yet out of every table
         self.faults = list[str]()  # own orders that were refused, since last taken
 
     # Facts.
@@ -66,6 +67,7 @@
         if known is None or (known.zone, known.model) != (zone, model):
             known = Server(name, zone, model)
             self.book.add_server(known)
+        self._gone.pop(name, None)
         self._stated[name] = limit
         known.limit, known.connections = limit * self._parts.get(name, 1.0), connections
         known.cold_from, known.cold_time = cold_from, max(1, cold_time)
@@ -77,8 +79,17 @@
     def forget(self, name: str) -> None:
         """A server that is off the list: its lines go as the tables change."""
         known = self.book.servers.get(name)
-        if known is not None and known.ready:
-            self.admission.judge([(Close(name),)], 0)
+        if known is not None:
+            self._gone[name] = None
+            if known.ready:
+                self.admission.judge([(Close(name),)], 0)
+
+    def _sweep(self) -> None:
+        """Drops what is off the list once no table names it: names come and go for years."""
+        for name in [name for name in self._gone if not self.book.servers[name].parts]:
+            del self.book.servers[name], self._gone[name]
+            self._stated.pop(name, None)
+            self._parts.pop(name, None)
 
     def pool(self, table: str, product: Product, zone: str) -> Pool:
         name = f"{product.name}@{table}"
@@ -270,6 +281,7 @@
 
     def period(self, met: Mapping[str, Sequence[Arm]], now: int) -> Effect:
         """What each gateway met in the last period; says what became of the wave."""
+        self._sweep()
         for name, arms in met.items():
             before = self._before.setdefault(name, _Before())
             if self.wave is None or self.wave.over:
--- a/rushladder/runtime/endpoint.py
+++ b/rushladder/runtime/endpoint.py
@@ -20,6 +20,7 @@
     300.0  # s without a command before an interactive connection is closed: ten of an operator's pauses
 )
 STUCK_MOST = 20.0  # s that a client may leave answers unread: longer than any scheduler or network pause seen
+WAITING_MOST = 10_000  # commands of one connection not yet begun: a fleet's list told at once, ten times
 DONE = Failure(protocol.connectionDone)
 
 
@@ -96,6 +97,9 @@
             self._todo.extend(commands)
             # The first line alone tells the mode: one line, its answers and the end; or a prompt after each.
             self._interactive |= any(c.words[:1] == ("prompt",) for c in commands if isinstance(c, Command))
+            if len(self._todo) > WAITING_MOST:
+                self._on_fault(f"more than {WAITING_MOST} commands waiting on one connection")
+                return self._transport().abortConnection()  # type: ignore[no-any-return]
             if not self._interactive:
                 self._closing = True
                 self._transport().pauseProducing()
--- a/rushladder/service/manager.py
+++ b/rushladder/service/manager.py
@@ -17,7 +17,7 @@
 from rushladder.core.reports import Reports
 from rushladder.core.roster import Roster
 from rushladder.gateways.driver import GatewayDriver, Log, Times
-from rushladder.gateways.holding import Holding
+from rushladder.gateways.holding import Holding, spans
 from rushladder.guard.waves import Effect
 from rushladder.intake.desk import Desk
 from rushladder.interface import Event, Listing, PeerWord, Probed, ProbeResult
@@ -107,6 +107,7 @@
             gateways=[(site.name, site.region, site.usual_rate) for site in plan.gateways],
         )
         hold = plan.holding
+        lease, settle = spans(hold.poll)
         self.drivers = [
             GatewayDriver(
                 clock,
@@ -114,15 +115,13 @@
                 Gateway(site.name, site.region, site.usual_rate),
                 self.core,
                 self.reports,
-                # A reading is believed for one and a half polls; a claim settles once no other can still
-                # act on an older one; both are shorter than the silence after which a holder is given up.
                 Holding(
                     plan.identity.name,
                     plan.identity.region,
                     site.region if plan.peers else plan.identity.region,  # alone, it is at home everywhere
                     takeover=hold.takeover,
-                    settle=hold.poll * 7 // 4,
-                    lease=hold.poll * 3 // 2,
+                    settle=settle,
+                    lease=lease,
                 ),
                 Times(hold.poll / TENTHS, hold.patience / TENTHS),
                 self._random.random,
--- a/rushladder/service/run.py
+++ b/rushladder/service/run.py
@@ -149,6 +149,9 @@
 
     def _ask(self, name: str, where: Address) -> None:
         """One agent check, and the next after a while, whatever became of it."""
+        reactor.callLater(AGENT_EVERY, self._ask, name, where)
+        if name not in self.manager.roster.listed:
+            return
         check = AgentCheck()
 
         def said(answer: Agent) -> None:
@@ -163,7 +166,6 @@
         asked: Deferred[Any] = endpoints.connectProtocol(client_endpoint(where), check)
         asked.addCallback(lambda _: check.answer.addTimeout(DIAL_MOST, reactor))
         asked.addCallbacks(said, unsaid)
-        reactor.callLater(AGENT_EVERY, self._ask, name, where)
 
     def stop(self) -> None:
         self.manager.stop()
--- a/rushladder/trials/day.py
+++ b/rushladder/trials/day.py
@@ -70,6 +70,11 @@
 }
 
 
+def seconds(word: str) -> float:
+    """A time with its unit, in seconds; raises Unreadable."""
+    return duration(word) / PER_S
+
+
 @attrs.frozen
 class Asked:
     """A product: the manager's own directives as written, and how clients ask for it (seconds)."""
--- a/rushladder/trials/judge.py
+++ b/rushladder/trials/judge.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from rushladder.trials.day import Day
+from rushladder.trials.day import Day, seconds
 
 WROTE = "proc.rushladder_wrote"
 
@@ -38,7 +38,6 @@
     service: float
     by_product: dict[str, float]
     declined: float
-    twice: int
     messages: int
     txns: int
     series: dict[str, list[tuple[float, float]]] = attrs.field(factory=dict)
@@ -149,16 +148,10 @@
     return verdict
 
 
-def _seconds(word: str) -> float:
-    from rushladder.conf.grammar import duration
-
-    return duration(word) / 10_000
-
-
 def _bare(day: Day, rows: list[dict[str, Any]], begins: float, ends: float) -> Iterable[Break]:
     """Rule 1: how long each gateway's pool of a product was empty while some warm collector was listed
     ready."""
-    limit, cold = _seconds(day.figure("bare", otherwise="8s")), _seconds(day.figure("cold", otherwise="15s"))
+    limit, cold = seconds(day.figure("bare", otherwise="8s")), seconds(day.figure("cold", otherwise="15s"))
     pools, since = _Pools(), dict[tuple[str, str], float]()
     ready = {site.name: not site.absent for site in day.collectors}
     warm_from = dict.fromkeys(ready, -1e9)
@@ -209,7 +202,7 @@
     without a manager is bound by nobody. Who has it, and since when, is read off the words that crossed its
     socket.
     """
-    grace = _seconds(day.figure("grace", otherwise="4s"))
+    grace = seconds(day.figure("grace", otherwise="4s"))
     out = dict[tuple[str, str], float]()  # manager, collector -> told
     holder = dict[str, tuple[str, float]]()
     told = set[tuple[str, str]]()
@@ -258,7 +251,7 @@
         int(day.figure("messages", otherwise="0")),
         float(day.figure("channel-waiting", otherwise="2500")),
     )
-    span = _seconds(day.figure("messages", "per", "10s"))
+    span = seconds(day.figure("messages", "per", "10s"))
     times, lines = defaultdict[tuple[str, str], list[float]](list), defaultdict[str, int](int)
     for row in rows:
         if row["ev"] != "cmd":
@@ -309,7 +302,6 @@
         sum(got.values()) / whole,
         {n: got[n] / asked[n] for n in products if asked[n]},
         declined / max(1, many),
-        0,
         messages,
         many,
         {
--- a/rushladder/trials/play.py
+++ b/rushladder/trials/play.py
@@ -18,7 +18,7 @@
 from rushladder.conf.grammar import Address
 from rushladder.runtime.grammar import Command, fields, split
 from rushladder.standins.record import Record
-from rushladder.trials.day import Asked, Day, Happening, Site
+from rushladder.trials.day import Day, Happening, Site, seconds
 
 SETTLE = 5.0  # s before the day begins: managers have taken their gateways, connections are open
 CLOSING = 1.5  # s after the day in which last answers come in
@@ -122,7 +122,7 @@
 
     def _describe(self) -> None:
         day = self.day
-        cold = _seconds(day.figure("cold", otherwise="15s"))
+        cold = seconds(day.figure("cold", otherwise="15s"))
         cold_from = float(day.figure("cold", "from", "17%").rstrip("%")) / 100
         builds = [
             {
@@ -133,7 +133,7 @@
                 "cold": cold,
                 "cold_from": cold_from,
                 "fall_multiple": float(day.figure("fall", otherwise="2.5x").rstrip("x")),
-                "fall_for": _seconds(day.figure("fall", "for", "2s")),
+                "fall_for": seconds(day.figure("fall", "for", "2s")),
                 "starts": not s.absent,
                 "reports": s.reports,
                 "address": self._from.get(s.name, ""),
@@ -312,14 +312,14 @@
         if what == "crash":  # the list hears of it a second late, and of its return at once
             return both(crash, lambda: self._later(1.0, listed("maint"))), both(start, listed("ready"))
         if what == "flap":
-            period, at = _seconds(words[0]), 0.0
+            period, at = seconds(words[0]), 0.0
             while at < max(one.lasts, period):
                 self._at(one.at + at, crash)
                 self._at(one.at + at + 0.4 * period, start)
                 at += period
             return (lambda: None), start
         if what == "release":  # drained, stopped, started cold
-            away = _seconds(words[0])
+            away = seconds(words[0])
             return both(
                 listed("drain"),
                 lambda: self._later(0.5 * away, both(crash, listed("maint"))),
@@ -344,7 +344,7 @@
             }[what]
             return tell(f"{what} {name} {word}"), tell(f"{what} {name} {back}")
         if what == "handshake":
-            cost = _seconds(words[0])
+            cost = seconds(words[0])
             return tell(f"handshake {name} {cost}"), tell(f"handshake {name} 0")
         if what == "weight":
             return (lambda: self._list(name, f"set server fleet/{name} weight {words[0]}")), None
@@ -463,13 +463,3 @@
             if process.poll() is None:
                 process.kill()
                 process.wait()
-
-
-def _seconds(word: str) -> float:
-    from rushladder.conf.grammar import duration
-
-    return duration(word) / 10_000
-
-
-def products(day: Day) -> dict[str, Asked]:
-    return {product.name: product for product in day.products}
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -379,6 +379,24 @@
 
 
 class WardenStories(unittest.TestCase):
+    def test_names_that_come_and_go_leave_nothing_behind(self) -> None:
+        warden = Warden(Random(1).random)
+        for turn in range(500):
+            warden.server(
+                f"s{turn}",
+                "a",
+                "big",
+                limit=40.0,
+                connections=0,
+                ready=True,
+                started_at=0,
+                cold_time=1,
+                cold_from=1.0,
+            )
+            warden.forget(f"s{turn}")
+            warden.period({}, turn)
+        self.assertEqual((len(warden.book.servers), len(warden._stated)), (0, 0))
+
     def test_a_change_that_demand_has_outgrown_on_its_way_is_taken_back(self) -> None:
         warden, product = Warden(Random(1).random), PRODUCTS["ask"][0]
         for k in range(4):
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -168,6 +168,15 @@
         self.clock.advance(30)
         self.assertTrue(wire.disconnected)
 
+    def test_commands_that_pile_up_behind_a_slow_one_end_the_connection(self) -> None:
+        server, wire = self.server()
+        server.dataReceived(b"prompt\nshow slow\n")
+        for _ in range(30):
+            server.dataReceived(b"show info\n" * 1000)
+            if wire.disconnected:
+                break
+        self.assertTrue(wire.disconnected)
+
     def test_connections_over_the_bound_are_turned_away(self) -> None:
         factory = RuntimeFactory(self.verbs, Level.USER, self.clock, most=1)
         first = factory.buildProtocol(None)
