--- /dev/null
+++ b/rushladder/dnsfront/__init__.py
@@ -0,0 +1,1 @@
+"""Authoritative DNS answers with weights, on the same core as the runtime front."""
--- a/rushladder/intake/desk.py
+++ b/rushladder/intake/desk.py
@@ -92,6 +92,14 @@
             self.limits.forget(name)
             self._expiry.cancel(name)
 
+    def knows(self, address: str) -> bool:
+        return address in self._by_address
+
+    def passed_over(self, address: str) -> None:
+        """A report that newer ones of its sender pushed out before it was read."""
+        self.counts[Fate.OVER_OWN] += 1
+        self.limits.heavy.add(self._by_address[address].name)
+
     def report(self, address: str, data: bytes, now: int) -> Fate:
         """One report as it came from an address."""
         fate = self._report(address, data, now)
--- a/rushladder/intake/ports.py
+++ b/rushladder/intake/ports.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import Any
 
 from twisted.internet import protocol
@@ -16,15 +17,39 @@
 from rushladder.runtime.endpoint import DONE
 from rushladder.timing import Clock, tenths
 
+GATHER = (
+    0.05  # s in which datagrams gather, so that after a standstill the newest of each sender is read first
+)
+KEPT = 5  # newest datagrams of a sender in that time: a sender's whole burst
 PAUSE = 0.2  # s that a stream over its budget is not read: TCP then slows its sender down
 
 
 class Datagrams(protocol.DatagramProtocol):
+    """The newest few of each listed sender are kept for a moment, then given to the desk, newest first: a
+    manager that stood still would else spend each sender's budget on what it missed."""
+
     def __init__(self, desk: Desk, clock: Clock) -> None:
         self._desk, self._clock = desk, clock
+        self._waiting = dict[str, deque[bytes]]()
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
-        self._desk.report(addr[0], datagram, tenths(self._clock))
+        waiting = self._waiting.get(addr[0])
+        if waiting is None:
+            if not self._desk.knows(addr[0]):
+                self._desk.counts[Fate.STRANGER] += 1
+                return
+            if not self._waiting:
+                self._clock.callLater(GATHER, self._give)
+            waiting = self._waiting[addr[0]] = deque(maxlen=KEPT)
+        if len(waiting) == KEPT:
+            self._desk.passed_over(addr[0])
+        waiting.append(datagram)
+
+    def _give(self) -> None:
+        taken, self._waiting, now = self._waiting, {}, tenths(self._clock)
+        for address, waiting in taken.items():
+            while waiting:
+                self._desk.report(address, waiting.pop(), now)
 
 
 class Stream(Int32StringReceiver):
--- a/rushladder/service/api.py
+++ b/rushladder/service/api.py
@@ -85,6 +85,18 @@
                     "show errors : the last faults, with how often they came",
                     api.errors,
                 ),
+                (
+                    "show load",
+                    Level.USER,
+                    "show load [SERVER] : what servers report of their load, and what it is worth",
+                    api.load,
+                ),
+                (
+                    "show intake",
+                    Level.USER,
+                    "show intake : what became of the reports, the spread of loads, heavy senders",
+                    api.intake,
+                ),
                 (
                     "set server",
                     Level.ADMIN,
