A DNS front with weights, on the same core: seats that the module steers, and answers from them

Clients without a gateway ask by name. Each region gets a seat among the core's gateways, so tables, weights and withdrawals are decided once; answers come from what a seat holds. TTLs follow from the drain's grace, a cold server's part counts with what kept answers bring, once-only products get one address. What each resolver brings is estimated from how soon it asks again and from what servers say they get; answers are split by that load.

--- a/rushladder/conf/grammar.py
+++ b/rushladder/conf/grammar.py
@@ -9,6 +9,7 @@
 
 import re
 from collections.abc import Callable, Iterator, Mapping, Sequence
+from ipaddress import ip_network
 from typing import Any
 
 import attrs
@@ -188,6 +189,34 @@
     raise Unreadable(f"'{word}' is no address; an IPv4 or IPv6 address without a port is allowed")
 
 
+def prefix(word: str) -> str:
+    """A network, as ADDRESS/LENGTH."""
+    try:
+        return str(ip_network(word))
+    except ValueError:
+        raise Unreadable(
+            f"'{word[:80]}' is no network; ADDRESS/LENGTH, no bits beyond it, is allowed"
+        ) from None
+
+
+def domain(word: str) -> str:
+    """A domain name, in lower case and without the last dot."""
+    low = word.lower().removesuffix(".")
+    if len(low) <= 200 and all(
+        re.fullmatch(r"[a-z0-9_]([a-z0-9_-]{0,61}[a-z0-9])?", x) for x in low.split(".")
+    ):
+        return low
+    raise Unreadable(f"'{word[:80]}' is no domain name; labels of letters, digits and - are allowed")
+
+
+def name_server(word: str) -> tuple[str, str]:
+    """`NAME=ADDRESS`."""
+    title, sign, where = word.partition("=")
+    if not sign:
+        raise Unreadable(f"'{word[:80]}' is no name server; NAME=ADDRESS is allowed")
+    return domain(title), host(where)
+
+
 def token(word: str) -> bytes:
     """A secret of 8 to 64 bytes, in hexadecimal."""
     if re.fullmatch(r"(?:[0-9a-fA-F]{2}){8,64}", word):
--- a/rushladder/conf/objects.py
+++ b/rushladder/conf/objects.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
+
 import attrs
 
 from rushladder.conf.grammar import Address
@@ -63,6 +65,23 @@
     address: Address
 
 
+@attrs.frozen
+class DnsSite:
+    """The zone that this manager answers for. hosts: name servers' names and addresses; named: servers of an
+    answer, at least; usual: txns a second of DNS clients; by_load: the split follows load, not answers;
+    clients: the prefixes of each region's clients."""
+
+    apex: str
+    address: Address
+    hosts: Mapping[str, Sequence[str]]
+    mailbox: str
+    named: int = 2
+    usual: float = 10.0
+    secret: bytes = b""
+    by_load: bool = True
+    clients: Mapping[str, Sequence[str]] = attrs.field(factory=dict)
+
+
 @attrs.frozen
 class Listener:
     """A socket of the manager's own: the runtime API at a level, or where peers' words arrive."""
@@ -107,3 +126,4 @@
     peer_listener: Address | None
     listeners: tuple[Listener, ...]
     report_listeners: tuple[tuple[str, Address], ...] = ()  # `udp` or `tcp`, and where
+    dns: DnsSite | None = None
--- a/rushladder/conf/reader.py
+++ b/rushladder/conf/reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+import re
 from typing import Any
 
 import attrs
@@ -14,13 +15,16 @@
     Line,
     Unreadable,
     address,
+    domain,
     duration,
     host,
     inet,
     name,
+    name_server,
     number,
     one_of,
     part,
+    prefix,
     read_lines,
     text,
     token,
@@ -28,6 +32,7 @@
 )
 from rushladder.conf.objects import (
     CollectorSite,
+    DnsSite,
     GatewaySite,
     Holding,
     Identity,
@@ -106,7 +111,19 @@
         },
         once=True,
     ),
-    "region": Section({}),
+    "region": Section({"clients": Directive((prefix,), many=True, usage="clients ADDRESS/LENGTH...")}),
+    "dns": Section(
+        {
+            "bind": Directive((inet,), needed=True, usage="bind ADDRESS:PORT"),
+            "ns": Directive((name_server,), many=True, needed=True, usage="ns NAME=ADDRESS..."),
+            "mailbox": Directive((domain,), usage="mailbox NAME"),
+            "named": Directive((whole(1, 8),), usage="named COUNT"),
+            "usual": Directive((number(0, 1e6, "/s"),), usage="usual RATE/s"),
+            "secret": Directive((token,), usage="secret HEX"),
+            "split": Directive((one_of({"load": True, "answers": False}),), usage="split load|answers"),
+        },
+        once=True,
+    ),
     "product": Section(
         {
             "sla": Directive((duration,), needed=True, usage="sla TIME"),
@@ -334,16 +351,44 @@
                 Fault(file, section.place, "a '/' in a name; the runtime socket parts names with it")
             )
     _once_only(found, file, faults)
+    _dns(of, file, faults)
     if faults:
         return None
     return _built(of)
 
 
+def _dns(of: Callable[[str], list[_Found]], file: str, faults: list[Fault]) -> None:
+    """Products and regions stand as labels in the zone: each must be one, and none may mean two things."""
+    for section in of("dns"):
+        try:
+            domain(section.name)
+        except Unreadable as trouble:
+            faults.append(Fault(file, section.place, str(trouble)))
+    seen = {"servers": 0, "_tcp": 0} if of("dns") else {}
+    for section in (*of("product"), *of("region")) if of("dns") else ():
+        low = section.name.lower()
+        if not re.fullmatch(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?", low):
+            faults.append(
+                Fault(
+                    file,
+                    section.place,
+                    f"'{section.name}' is no DNS label; letters, digits and - are allowed",
+                )
+            )
+        if low in seen:
+            where = f"a name of line {seen[low]}" if seen[low] else "a name of the zone's own"
+            faults.append(
+                Fault(file, section.place, f"'{section.name}' is {where} in the zone; another one is allowed")
+            )
+        seen.setdefault(low, section.place)
+
+
 def _once_only(found: Sequence[_Found], file: str, faults: list[Fault]) -> None:
     """One address for one thing: two names for one collector would take twice its share."""
     seen = dict[tuple[str, str], int]()
     for section in found:
-        place = "socket" if section.kind == "gateway" else "bind" if section.kind == "listen" else "address"
+        places = {"gateway": "socket", "listen": "bind", "dns": "bind"}
+        place = places.get(section.kind, "address")
         where: Address | None = section.one(place)
         if where is None:
             continue
@@ -374,6 +419,7 @@
         if not s.one("peers") and not s.one("reports")
     ]
     holding = Holding()
+    regions = {s.name: tuple(s.values.get("clients", ())) for s in of("region")}
     return Plan(
         log=LogForm(globals_.one("log", "json"), globals_.option("log", "level", "info")),
         identity=Identity(
@@ -448,5 +494,24 @@
         peers=tuple(PeerSite(s.name, names.index(s.name), s.one("address")) for s in of("peer")),
         peer_listener=next((s.one("bind") for s in of("listen") if s.one("peers")), None),
         listeners=tuple(listeners),
+        dns=next((_zone(section, regions) for section in of("dns")), None),
         report_listeners=tuple((s.one("reports"), s.one("bind")) for s in of("listen") if s.one("reports")),
     )
+
+
+def _zone(section: _Found, regions: dict[str, tuple[str, ...]]) -> DnsSite:
+    hosts = dict[str, list[str]]()
+    for title, where in section.values["ns"]:
+        hosts.setdefault(title, []).append(where)
+    apex = domain(section.name)
+    return DnsSite(
+        apex,
+        section.one("bind"),
+        hosts,
+        section.one("mailbox", f"hostmaster.{apex}"),
+        section.one("named", 2),
+        section.one("usual", 10.0),
+        section.one("secret", b""),
+        section.one("split", True),
+        regions,
+    )
--- a/rushladder/core/host.py
+++ b/rushladder/core/host.py
@@ -199,11 +199,11 @@
     def next_wake(self) -> int | None:
         return self._wakes[0][0] if self._wakes else None
 
-    def joined(self, gateway: Gateway, held: Held) -> Port:
+    def joined(self, gateway: Gateway, held: Held, capped: bool = True) -> Port:
         """A gateway that this manager holds from now on; the caller gives the module its Joined with
-        `take`."""
+        `take`. capped: messages to it count, as they cross a socket."""
         self.left(gateway)
-        port = Port(gateway, held, Pace(self._channel.message_cap, self._channel.cap_span))
+        port = Port(gateway, held, Pace(self._channel.message_cap if capped else 0, self._channel.cap_span))
         self.ports[gateway] = port
         return port
 
--- a/rushladder/dnsfront/lifetimes.py
+++ b/rushladder/dnsfront/lifetimes.py
@@ -1,5 +1,7 @@
-"""How long an answer may be kept. What a resolver holds is a table that no one can withdraw, so the rules set its
-life, and what a short one costs in questions is paid. Free of I/O.
+"""How long an answer may be kept. Free of I/O.
+
+What a resolver holds is a table that no one can withdraw, so the rules set its life, and what a short one
+costs in questions is paid.
 """
 
 from __future__ import annotations
--- a/rushladder/dnsfront/records.py
+++ b/rushladder/dnsfront/records.py
@@ -1,4 +1,7 @@
-"""Questions and answers as the planning sees them: no bytes, no sockets. Numbers: RFC 1035, 2782, 6891, 7873."""
+"""Questions and answers as the planning sees them: no bytes, no sockets.
+
+Numbers: RFC 1035, 2782, 6891, 7873.
+"""
 
 from __future__ import annotations
 
--- a/rushladder/intake/desk.py
+++ b/rushladder/intake/desk.py
@@ -24,6 +24,7 @@
 from rushladder.structures.wheel import Wheel
 
 LONGEST = 2048  # bytes of a report: a hundred named metrics
+FASTEST = 1e6  # txns a second that a server can claim: beyond any real one
 TICK = 1000  # 0.1 s: expiry need not be told any closer
 
 
@@ -61,6 +62,7 @@
     token: bytes
     reading: Reading = attrs.field(factory=Reading)
     agent: Agent | None = None
+    rate: float = 0.0  # txns a second that it last said it gets
     numbers: int = 0  # of answers to agent checks, which carry none of their own
 
 
@@ -122,7 +124,14 @@
             return Fate.MALFORMED
         if word.server != sender.name or not hmac.compare_digest(word.token, sender.token):
             return Fate.FORGED
-        return self._take(sender, word.boot, word.number, 10.0 * word.uptime, load_of(word.report), now)
+        fate = self._take(sender, word.boot, word.number, 10.0 * word.uptime, load_of(word.report), now)
+        if fate is Fate.TAKEN and 0.0 <= word.report.rps_fractional < FASTEST:
+            sender.rate = word.report.rps_fractional
+        return fate
+
+    def rates(self, now: int) -> dict[str, float]:
+        """Txns a second by server, as those whose reports are fresh say."""
+        return {name: one.rate for name, one in self.senders.items() if one.reading.say(now) >= 1.0}
 
     def asked(self, name: str, answer: Agent, now: int) -> None:
         """What an agent check brought: its weight tells how much of the server is free."""
--- a/rushladder/service/api.py
+++ b/rushladder/service/api.py
@@ -19,6 +19,7 @@
 from rushladder.timing import TENTHS, tenths
 
 PREPARED_MOST, LINES_MOST = 16, 20_000  # versions begun and not committed; 20 products x 1,000 servers
+SHOWN = 20  # resolvers of a pool that are shown: those who bring most
 FLEET = "fleet"  # the backend that stands for all collectors
 STATES = {"ready": Availability.READY, "drain": Availability.DRAINING, "maint": Availability.GONE}
 STATUS = {Availability.READY: "UP", Availability.DRAINING: "DRAIN", Availability.GONE: "MAINT"}
@@ -85,6 +86,13 @@
                     "show errors : the last faults, with how often they came",
                     api.errors,
                 ),
+                ("show dns", Level.USER, "show dns : what became of questions; the pools' split", api.dns),
+                (
+                    "show dns resolvers",
+                    Level.OPERATOR,
+                    "show dns resolvers : who asks, and what each is taken to bring",
+                    api.resolvers,
+                ),
                 (
                     "show load",
                     Level.USER,
@@ -190,7 +198,7 @@
             "Beats": manager.beats,
             "Events": manager.events,
             "Gateways": len(manager.drivers),
-            "GatewaysHeld": len(self._core.ports),
+            "GatewaysHeld": sum(driver.port is not None for driver in manager.drivers),
             "Servers": len(self._roster.listed),
             "ListVersion": self._roster.version,
             "ListRestored": int(manager.restored),
@@ -473,6 +481,53 @@
             for sender, count, over in desk.limits.heavy.top(5)
         )
 
+    # The DNS front.
+
+    def dns(self, words: tuple[str, ...]) -> str:
+        front = self._manager.dns
+        if front is None:
+            raise Refused("No zone is configured.")
+        text = "".join(f"{fate.name}: {many}\n" for fate, many in front.counts.items())
+        text += f"ttl: {front.lifetimes.usual}\nbuckets: {len(front.limits)}\n"
+        rows = list[list[object]]()
+        for (product, region), pool in front.pools.items():
+            for server, share in pool.split.shares.items():
+                rows.append(
+                    [
+                        product,
+                        region,
+                        server,
+                        f"{share.weight:g}",
+                        int(share.cold),
+                        f"{pool.split.allowance(server):.2f}",
+                        f"{pool.split.standing.get(server, 0.0):.2f}",
+                    ]
+                )
+        return text + csv(("pxname", "region", "svname", "weight", "cold", "allowed_s", "standing_s"), rows)
+
+    def resolvers(self, words: tuple[str, ...]) -> str:
+        front, now = self._manager.dns, tenths(self._manager.clock)
+        if front is None:
+            raise Refused("No zone is configured.")
+        rows = [
+            [
+                product,
+                region,
+                asker.source,
+                asker.asked,
+                f"{pool.askers.volume(asker):.2f}",
+                f"{asker.factor:.2f}",
+                int(asker.known()),
+                f"{(now - asker.last) / TENTHS:.1f}",
+                " ".join(asker.servers),
+            ]
+            for (product, region), pool in front.pools.items()
+            for asker in sorted(pool.askers.all.values(), key=lambda one: -pool.askers.volume(one))[:SHOWN]
+        ]
+        return csv(
+            ("pxname", "region", "resolver", "asked", "txns_s", "factor", "known", "age_s", "servers"), rows
+        )
+
     # Changes of the list.
 
     def _name(self, word: str) -> str:
--- a/rushladder/service/manager.py
+++ b/rushladder/service/manager.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+import secrets
+import time
 from collections import deque
 from collections.abc import Callable
 from random import Random
@@ -16,6 +18,7 @@
 from rushladder.core.host import Core
 from rushladder.core.reports import Reports
 from rushladder.core.roster import Roster
+from rushladder.dnsfront.front import Front
 from rushladder.gateways.driver import GatewayDriver, Log, Times
 from rushladder.gateways.holding import Holding, spans
 from rushladder.guard.waves import Effect
@@ -35,6 +38,12 @@
     def probe(self, address: str) -> Deferred[ProbeResult]: ...
 
 
+class Kicked(Protocol):
+    """What stands for a gateway: is told when something is owed to it."""
+
+    def kick(self) -> None: ...
+
+
 class Words(Protocol):
     """Sends the module's words to the other managers."""
 
@@ -63,6 +72,7 @@
         log: Log,
         restored: str = "",
         away: float = 0.0,
+        wall: Callable[[], float] = time.time,
     ) -> None:
         self.plan, self.clock, self._log, self._prober = plan, clock, log, prober
         self._random = Random(plan.identity.seed * 1000 + plan.identity.number)
@@ -131,7 +141,10 @@
             )
             for site in plan.gateways
         ]
-        self._by_gateway = {driver.gateway: driver for driver in self.drivers}
+        self._by_gateway: dict[Gateway, Kicked] = {driver.gateway: driver for driver in self.drivers}
+        self.dns = self._dns(wall)
+        if self.dns is not None:
+            self._by_gateway |= {seat.gateway: seat for seat in self.dns.seats}
         self._wake: Call | None = None
         self._probing = dict[Server, None]()
         self._stopped = False
@@ -139,6 +152,8 @@
     def start(self) -> None:
         for driver in self.drivers:
             driver.start()
+        if self.dns is not None:
+            self.dns.start()
         self._period()
         self.give()
 
@@ -195,11 +210,31 @@
                     gateways=len(wave.changed),
                     sure=round(wave.watch.sureness(), 4),
                 )
-            self.give(*self.reports.close(self._hints()))
+            came = self.dns.period(self.desk.rates(tenths(self.clock))) if self.dns is not None else ()
+            self.give(*self.reports.close(self._hints()), *came)
             faults, self.core.warden.faults = self.core.warden.faults, []
             for what in faults:
                 self.fault(what)
 
+    def _dns(self, wall: Callable[[], float]) -> Front | None:
+        plan = self.plan
+        if plan.dns is None:
+            return None
+        return Front(
+            # Where managers share no secret, each knows its own cookies only.
+            attrs.evolve(plan.dns, secret=plan.dns.secret or secrets.token_bytes(16)),
+            plan.identity.name,
+            plan.identity.region,
+            plan.regions,
+            self.core,
+            self.clock,
+            wall,
+            self._random.random,
+            self.give,
+            plan.guarantee.drain_grace,
+            plan.channel.longest_way,
+        )
+
     def _hints(self) -> dict[str, float]:
         """What servers' own reports say, against what was measured; empty where none reports."""
         now = tenths(self.clock)
@@ -247,6 +282,8 @@
                 servers=[f"{entry.worker.name}={entry.availability.name}" for entry in event.entries][:20],
             )
             self._reporters()
+            if self.dns is not None:
+                self.dns.listing()
             self.give(event)
 
     def told(self, event: str, **more: Any) -> None:
--- a/rushladder/service/run.py
+++ b/rushladder/service/run.py
@@ -15,6 +15,8 @@
 
 from rushladder.conf.grammar import Address
 from rushladder.conf.objects import GatewaySite, LogForm, Plan
+from rushladder.dnsfront.ports import Datagrams as DnsDatagrams
+from rushladder.dnsfront.ports import Streams as DnsStreams
 from rushladder.intake.agent import Agent
 from rushladder.intake.ports import AgentCheck, Datagrams, Streams
 from rushladder.interface import Availability
@@ -29,6 +31,7 @@
 SAVE_EVERY = 0.2  # s between two looks at whether the list has changed: many changes become one write
 AGENT_EVERY = 2.0  # s between two agent checks of a server: its answer counts as fresh for five
 AGENT_STATES = {"ready": Availability.READY, "drain": Availability.DRAINING, "maint": Availability.GONE}
+DNS_MOST = 4096  # bytes of a question: eight times what one with every option takes
 DIAL_MOST = 1.0  # s for a connection to a gateway's socket
 
 
@@ -128,6 +131,10 @@
             )
             reactor.listenUDP(self._plan.peer_listener.port, link, interface=self._plan.peer_listener.host)
             self.manager.words.append(link)
+        if self._plan.dns is not None and self.manager.dns is not None:
+            where, front = self._plan.dns.address, self.manager.dns
+            reactor.listenUDP(where.port, DnsDatagrams(front), interface=where.host, maxPacketSize=DNS_MOST)
+            await server_endpoint(where).listen(DnsStreams(front, reactor))
         for kind, where in self._plan.report_listeners:
             if kind == "udp":
                 reactor.listenUDP(where.port, Datagrams(self.manager.desk, reactor), interface=where.host)
--- a/rushladder/structures/choice.py
+++ b/rushladder/structures/choice.py
@@ -1,5 +1,4 @@
-"""Choosing by weight: by chance (alias table, Fenwick tree) and in turn (stride). See benchmarks/choice.py for
-what each costs.
+"""Choosing by weight: by chance (alias table, Fenwick tree) and in turn (stride).
 
 Alias: Walker and Vose, a draw in O(1), built anew at each change. Fenwick: a draw and a change in O(log n).
 Stride: Waldspurger and Weihl, the next in turn in O(log n); each pays what it was used for, so that what
@@ -103,7 +102,7 @@
     def __init__(self) -> None:
         self.weights, self._turn = dict[K, float](), dict[K, float]()
         self._heap, self._order = list[tuple[float, int, K]](), count()
-        self.now = 0.0  # the turn of whoever was taken last: where newcomers begin
+        self.now = 0.0  # the first turn when one was last taken: where newcomers begin
 
     def __len__(self) -> int:
         return len(self.weights)
@@ -133,10 +132,17 @@
 
     def take(self, key: K, cost: float) -> None:
         """It was used for so much."""
-        if key in self.weights:
-            turn = max(self._turn[key], self.now)
-            self.now = max(self.now, self._turn[key])
-            self._put(key, turn + max(1e-12, cost) / self.weights[key])
+        first = self.first()
+        if first is not None and key in self.weights:
+            self.now = max(self.now, first[0])
+            self._put(key, self._turn[key] + max(1e-12, cost) / self.weights[key])
+
+    def turn(self, key: K) -> float:
+        return self._turn[key]
+
+    def begin(self, now: float) -> None:
+        """Newcomers begin no sooner than this."""
+        self.now = max(self.now, now)
 
     def least(self, many: int, fits: Callable[[K], bool], looks: int) -> list[K]:
         """The next `many` that fit, in turn; at most `looks` that do not fit are passed over. They are not
