Trials with caching resolvers: load of DNS clients against their weights, rules judged

Resolvers with Zipf demand keep answers and send clients straight to collectors; the judge reads drains and missing answers off their records. With SRV, each server pays for the part that its weight draws: before, two named servers gained nothing.

--- a/rushladder/dnsfront/answers.py
+++ b/rushladder/dnsfront/answers.py
@@ -77,14 +77,15 @@
 
 
 class Answers:
-    """Answers to the questions of one zone. `choose` is asked for a pool's servers, `tells` for its TXT."""
+    """Answers to the questions of one zone. `choose` is asked for a pool's servers (and whether the answer
+    tells their weights), `tells` for its TXT."""
 
     def __init__(
         self,
         zone: Zone,
         regions: Regions,
         mailbox: str,
-        choose: Callable[[Asked], Chosen | None],
+        choose: Callable[[Asked, bool], Chosen | None],
         tells: Callable[[str, str], Sequence[str]],
         addresses: Mapping[str, str],
         serial: Callable[[], int],
@@ -158,7 +159,7 @@
         return Answer(Rcode.NOERROR, found) if found else self._nothing(question, place, asked)
 
     def _pool(self, question: Question, place: Place, asked: Asked) -> Answer:
-        chosen = self._choose(asked)
+        chosen = self._choose(asked, False)
         if chosen is None:  # no plan, or nobody open: a resolver asks another name server then
             return Answer(Rcode.SERVFAIL, authoritative=False, scope=asked.scope)
         some = [target.address for target in chosen.targets]
@@ -168,7 +169,7 @@
         return Answer(Rcode.NOERROR, found, scope=asked.scope)
 
     def _service(self, question: Question, place: Place, asked: Asked) -> Answer:
-        chosen = self._choose(asked)
+        chosen = self._choose(asked, True)
         if chosen is None:
             return Answer(Rcode.SERVFAIL, authoritative=False, scope=asked.scope)
         named = [target for target in chosen.targets if label(target.name)]
--- a/rushladder/dnsfront/askers.py
+++ b/rushladder/dnsfront/askers.py
@@ -33,7 +33,7 @@
     waits: int = 0
     wait: float = 0.0
     factor: float = 1.0
-    servers: tuple[str, ...] = ()
+    servers: Mapping[str, float] = attrs.field(factory=dict)  # and the part of its txns that each gets
     until: int = 0  # when its answer runs out
     ttl: int = 0
 
@@ -81,17 +81,17 @@
         ]
         expected = dict[str, float]()
         for asker, volume in live:
-            for name in asker.servers:
-                expected[name] = expected.get(name, 0.0) + volume / len(asker.servers)
+            for name, part in asker.servers.items():
+                expected[name] = expected.get(name, 0.0) + volume * part
         ratios = {
             name: min(4.0, max(0.25, measured[name] / volume))
             for name, volume in expected.items()
             if name in measured and volume > 0
         }
         for asker, _ in live if self._by_load else ():
-            some = [ratios[name] for name in asker.servers if name in ratios]
-            if some:
-                asker.factor *= (sum(some) / len(some)) ** GAIN
+            some = {name: part for name, part in asker.servers.items() if name in ratios}
+            if whole := sum(some.values()):
+                asker.factor *= (sum(part * ratios[name] for name, part in some.items()) / whole) ** GAIN
                 asker.factor = min(FAR, max(1 / FAR, asker.factor))
         self.demand = sum(volume for _, volume in live) if self._by_load else sum(measured.values())
 
--- a/rushladder/dnsfront/front.py
+++ b/rushladder/dnsfront/front.py
@@ -273,7 +273,7 @@
             return cookies.make(self.site.secret, edns.cookie, source, now), True
         return cookies.make(self.site.secret, edns.cookie, source, now), False
 
-    def _choose(self, asked: Asked) -> Chosen | None:
+    def _choose(self, asked: Asked, weighed: bool) -> Chosen | None:
         """One asker gets one answer until it runs out: asking often changes nothing for anyone."""
         now, (source, proven) = tenths(self._clock), self._asker
         pool = self.pools[asked.product, asked.region]
@@ -283,15 +283,16 @@
         asker = pool.askers.heard(source, now, proven)
         kept = -(-(asker.until - now) // SECOND)  # rounded up: the same caches ask when it has run out
         if kept < 1 or not all(name in pool.targets for name in asker.servers):
-            kept = self._anew(pool, asker, now)
+            kept = self._anew(pool, asker, now, weighed)
         return Chosen([pool.targets[name] for name in asker.servers], kept)
 
-    def _anew(self, pool: Pool, asker: Asker, now: int) -> int:
+    def _anew(self, pool: Pool, asker: Asker, now: int, weighed: bool) -> int:
         """The asker's next answer, and its life."""
         volume = pool.askers.volume(asker)
         cold = any(share.cold for share in pool.split.shares.values())
         ttl = self.lifetimes.of(cold, now)
-        asker.servers = pool.split.pick(self._many(pool, volume), volume, ttl, now, asker.known())
+        many = self._many(pool, volume)
+        asker.servers = pool.split.pick(many, volume, ttl, now, asker.known(), weighed)
         asker.until, asker.ttl = now + ttl * SECOND, ttl
         return ttl
 
--- a/rushladder/dnsfront/split.py
+++ b/rushladder/dnsfront/split.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 
 import attrs
 
@@ -58,31 +58,32 @@
         """The txns a second that the decisions give a server of this pool."""
         return self.demand * self.shares[name].weight / self._whole if self._whole else 0.0
 
-    def pick(self, many: int, volume: float, ttl: int, now: int, known: bool = True) -> tuple[str, ...]:
-        """Up to `many` servers for an asker that brings `volume` txns a second for `ttl` seconds; empty only
-        where the pool is. One who is not known turns no one's turn but other strangers'."""
+    def pick(
+        self, many: int, volume: float, ttl: int, now: int, known: bool = True, weighed: bool = False
+    ) -> dict[str, float]:
+        """Up to `many` servers for an asker that brings `volume` txns a second for `ttl` seconds, and the
+        part of them that each gets; empty only where the pool is. weighed: the answer tells weights (SRV),
+        else clients use all alike. One who is not known turns no one's turn but other strangers'."""
         self.expire(now)
         each = volume / max(1, min(many, len(self.shares)))
-        if not known and len(self._strange):
-            found = self._take(self._strange, many, each)
-        else:
-            found = self._turns(many, each)
+        stranger = not known and len(self._strange) > 0
+        found = self._strange.least(many, lambda name: True, 0) if stranger else self._turns(many, each)
         if (
             not found and self.shares
         ):  # all are cold, and full: the one with the most room, as rule 1 is first
             found = [max(self.shares, key=lambda name: self.allowance(name) - self.standing.get(name, 0.0))]
-            self._cold.take(found[0], each)
+        whole = sum(self.shares[name].weight for name in found)
+        parts = {name: self.shares[name].weight / whole if weighed else 1 / len(found) for name in found}
+        for name, part in parts.items():
+            (self._strange if stranger else self._of(name)).take(name, volume * part)
         if known:
-            self._stand(found, each, ttl, now)
-        return tuple(found)
+            self._stand({name: volume * part for name, part in parts.items()}, ttl, now)
+        return parts
 
     def _turns(self, many: int, each: float) -> list[str]:
         cold = self._cold.least(many, lambda name: self._fits(name, each), LOOKS) if len(self._cold) else []
         warm = self._warm.least(many, lambda name: True, 0)
-        found = sorted([*cold, *warm], key=lambda name: self._of(name).turn(name))[:many]
-        for name in found:
-            self._of(name).take(name, each)
-        return found
+        return sorted([*cold, *warm], key=lambda name: self._of(name).turn(name))[:many]
 
     def _of(self, name: str) -> Stride[str]:
         return self._cold if self.shares[name].cold else self._warm
@@ -91,14 +92,7 @@
         standing, part = self.standing.get(name, 0.0), self.allowance(name)
         return standing + each <= part or (standing == 0.0 and each <= TWICE * part)
 
-    @staticmethod
-    def _take(turns: Stride[str], many: int, each: float) -> list[str]:
-        found = turns.least(many, lambda name: True, 0)
-        for name in found:
-            turns.take(name, each)
-        return found
-
-    def _stand(self, names: Sequence[str], each: float, ttl: int, now: int) -> None:
+    def _stand(self, volumes: Mapping[str, float], ttl: int, now: int) -> None:
         end = (
             now // SECOND + 2 + ttl
         )  # begun seconds, here and where the asker's next cache got the rest of it
@@ -110,9 +104,9 @@
                 if self._ends[place][0] == end:
                     break
             sums = next(sums for at, sums in self._ends if at == end)
-            for name in names:
-                sums[name] = sums.get(name, 0.0) + each
-                self.standing[name] = self.standing.get(name, 0.0) + each
+            for name, volume in volumes.items():
+                sums[name] = sums.get(name, 0.0) + volume
+                self.standing[name] = self.standing.get(name, 0.0) + volume
 
     def expire(self, now: int) -> None:
         """Takes off what has run out: at most a life's seconds of sums, each bounded by the pool."""
--- a/rushladder/standins/__main__.py
+++ b/rushladder/standins/__main__.py
@@ -10,7 +10,7 @@
 
 from twisted.internet import reactor as _reactor
 
-from rushladder.standins import collector, front, load
+from rushladder.standins import collector, front, load, resolvers
 from rushladder.standins.record import Record
 
 reactor: Any = _reactor
@@ -34,6 +34,8 @@
             reactor,
             record,
         )
+    elif what["kind"] == "resolvers":
+        resolvers.serve(what, reactor, record)
     else:
         load.serve(
             load.Load(
--- a/rushladder/standins/collector.py
+++ b/rushladder/standins/collector.py
@@ -23,6 +23,9 @@
 from rushladder.standins.record import Record
 
 
+RATED = 2.0  # s over which a collector counts what it gets: a score of txns
+
+
 @attrs.frozen
 class Build:
     """What one collector is: where it answers, its cores and their speed, and how it starts (seconds)."""
@@ -66,6 +69,7 @@
         self._port: Any = None
         self._wire: Any = None
         self._told, self._boot, self._begun = 0, 0, reactor.seconds()
+        self._came = deque[float]()  # times of the txns of the last seconds, for the rate that it reports
         self._channels = set[Any]()
 
     # Its life.
@@ -113,12 +117,20 @@
             boot=self._boot,
             number=self._told,
             uptime=uptime,
-            report=OrcaLoadReport(application_utilization=min(100.0, load), cpu_utilization=load),
+            report=OrcaLoadReport(
+                application_utilization=min(100.0, load), cpu_utilization=load, rps_fractional=self._rate()
+            ),
         ).SerializeToString()
         for port in self.build.managers:
             self._wire.write(data, ("127.0.0.1", port))
         self._reactor.callLater(0.005 if how == "flood" else 0.5, self._report, life)
 
+    def _rate(self) -> float:
+        """Txns a second over the last RATED seconds."""
+        while self._came and self._came[0] < self._reactor.seconds() - RATED:
+            self._came.popleft()
+        return len(self._came) / RATED
+
     def crash(self, why: str) -> None:
         if self._port is None:
             return
@@ -157,6 +169,7 @@
         work, left = (float(request.args[key][0]) / 1000 for key in (b"work", b"left"))
         now = self._reactor.seconds()
         self._push(now, work)
+        self._came.append(now)
         if self._port is None:
             return server.NOT_DONE_YET
         if self._random.random() < self._fails:
--- a/rushladder/trials/day.py
+++ b/rushladder/trials/day.py
@@ -4,6 +4,7 @@
     product NAME                    the manager's directives, and `share PART`, `work TIME`
     manager NAME / gateway NAME     `region NAME`
     collector NAME                  `region NAME`, `cores N`, `speed X`, `size X`, `model NAME`, `absent`
+    resolvers NAME                  a population: `region NAME`, `many N`, `zipf X`, `load RATE/s`, `ignore N`
     events                          lines of `at TIME WHO NAMES WHAT ... [for TIME]`
 
 `plan` lines go into every manager's section as they are.
@@ -32,7 +33,7 @@
 
 PER_S = 1000 * PER_MS
 REPORTS = {how: how for how in ("true", "idle", "stuck", "flood")}
-SECTIONS = ("day", "product", "manager", "gateway", "collector", "events")
+SECTIONS = ("day", "product", "manager", "gateway", "collector", "resolvers", "events")
 # Who -> what can happen to it -> how many arguments, and whether it ends by itself with `for`.
 HAPPENINGS: dict[str, dict[str, tuple[int, bool]]] = {
     "load": {
@@ -102,6 +103,19 @@
     reports: str = ""  # how it tells of its load: true, idle, stuck or flood
 
 
+@attrs.frozen
+class Resolvers:
+    """Resolvers of a region, the k-th of which brings a part like 1/k^zipf of the load; the last `ignore`
+    of them keep answers ten times as long as they may."""
+
+    name: str
+    region: str
+    many: int
+    zipf: float
+    load: float
+    ignore: int
+
+
 @attrs.frozen
 class Happening:
     """At a second of the day, something happens to some of a kind, for some seconds or for good (0)."""
@@ -127,6 +141,8 @@
     gateways: tuple[Site, ...]
     collectors: tuple[Site, ...]
     happenings: tuple[Happening, ...]
+    resolvers: tuple[Resolvers, ...] = ()
+    dns: tuple[tuple[str, ...], ...] = ()  # lines of every manager's dns section
 
     @property
     def regions(self) -> tuple[str, ...]:
@@ -169,7 +185,8 @@
     def __init__(self, file: str, faults: list[Fault]) -> None:
         self._file, self._faults = file, faults
         self.facts: dict[str, str] = {}
-        self.plan = list[tuple[str, ...]]()
+        self.plan, self.dns = list[tuple[str, ...]](), list[tuple[str, ...]]()
+        self.resolvers = list[Resolvers]()
         self.sites: dict[str, list[Site]] = {"manager": [], "gateway": [], "collector": []}
         self.products, self.happenings = list[Asked](), list[Happening]()
 
@@ -188,6 +205,8 @@
             elif kind == "events":
                 for line in lines:
                     self._event(line)
+            elif kind == "resolvers":
+                self._population(head.words[1], lines)
             elif kind == "product":
                 self._product(head.words[1], lines)
             else:
@@ -198,10 +217,14 @@
     def _day(self, line: Line) -> None:
         if line.words[0] == "plan":
             self.plan.append(line.words[1:])
+        elif line.words[0] == "dns":
+            self.dns.append(line.words[1:])
         elif line.words[0] in ("length", "seed", "load") and len(line.words) == 2:
             self.facts[line.words[0]] = line.words[1]
         else:
-            self.fault(line, f"'{line.words[0]}' can't stand here; length, seed, load and plan are allowed")
+            self.fault(
+                line, f"'{line.words[0]}' can't stand here; length, seed, load, plan and dns are allowed"
+            )
 
     def _product(self, title: str, lines: Sequence[Line]) -> None:
         said = {line.words[0]: line.words[1:] for line in lines}
@@ -220,6 +243,25 @@
             )
         )
 
+    def _population(self, title: str, lines: Sequence[Line]) -> None:
+        said = {line.words[0]: (*line.words[1:], "") for line in lines}
+        for line in lines:
+            if line.words[0] not in ("region", "many", "zipf", "load", "ignore"):
+                self.fault(
+                    line,
+                    f"'{line.words[0]}' can't stand here; region, many, zipf, load and ignore are allowed",
+                )
+        self.resolvers.append(
+            Resolvers(
+                name(title),
+                name(said["region"][0]),
+                whole(1, 500)(said["many"][0]),
+                number(0, 5)(said.get("zipf", ("1",))[0]),
+                number(0.1, 1e5, "/s")(said["load"][0]),
+                whole(0, 500)(said.get("ignore", ("0",))[0]),
+            )
+        )
+
     def _site(self, kind: str, title: str, lines: Sequence[Line]) -> None:
         said = {line.words[0]: (*line.words[1:], "") for line in lines}
         for line in lines:
@@ -283,4 +325,6 @@
             tuple(self.sites["gateway"]),
             tuple(self.sites["collector"]),
             tuple(sorted(self.happenings, key=lambda one: one.at)),
+            tuple(self.resolvers),
+            tuple(self.dns),
         )
--- a/rushladder/trials/judge.py
+++ b/rushladder/trials/judge.py
@@ -40,6 +40,7 @@
     declined: float
     messages: int
     txns: int
+    dns_error: float = 0.0  # of DNS clients' load against the weights, where there are any
     series: dict[str, list[tuple[float, float]]] = attrs.field(factory=dict)
 
     def text(self) -> str:
@@ -60,6 +61,8 @@
             f"service {self.service:.3f} ({by}); declined {self.declined:.1%}; {self.txns} txns, "
             f"{self.messages} messages to gateways"
         )
+        if self.dns_error:
+            lines.append(f"load of DNS clients off its weights by {self.dns_error:.1%}")
         return "\n".join(lines)
 
     def steering(self) -> list[str]:
@@ -140,6 +143,8 @@
         *_bare(day, rows, begins, ends),
         *_twice(day, rows, begins),
         *_drains(day, rows, begins),
+        *_kept_answers(day, rows, begins),
+        *_unanswered(day, rows, begins),
         *_fallen(rows, begins),
         *_messages(day, rows, begins),
     ]
@@ -237,6 +242,84 @@
                 )
 
 
+def _kept_answers(day: Day, rows: list[dict[str, Any]], begins: float) -> Iterable[Break]:
+    """Rule 3 by DNS: no try to a collector later than the grace after the manager that named it was told of
+    its drain. Resolvers that keep answers beyond their life are bound by nobody."""
+    grace = seconds(day.figure("grace", otherwise="4s"))
+    out, told = dict[tuple[str, str], float](), set[tuple[str, str]]()
+    for row in rows:
+        if row["ev"] == "listed" and row["state"]:
+            key = row["manager"], row["name"]
+            if row["state"] == "ready":
+                out.pop(key, None)
+            else:
+                out.setdefault(key, row["t"])
+        elif row["ev"] == "try" and "front" in row and not row["ignores"]:
+            when = out.get((row["front"], row["server"]))
+            if when is not None and row["t"] - when > grace and (row["resolver"], row["server"]) not in told:
+                told.add((row["resolver"], row["server"]))
+                yield Break(
+                    3,
+                    row["t"] - begins,
+                    row["resolver"],
+                    f"{row['id']} sent to {row['server']} {row['t'] - when:.1f} s after {row['front']} heard",
+                )
+
+
+def _unanswered(day: Day, rows: list[dict[str, Any]], begins: float) -> Iterable[Break]:
+    """Rule 1 by DNS: no resolver is left without a name for longer than `bare`, from its first answer on."""
+    limit = seconds(day.figure("bare", otherwise="8s"))
+    since = dict[tuple[str, str], float]()
+    for row in rows:
+        if row["ev"] not in ("answered", "unanswered"):
+            continue
+        key = row["resolver"], row["product"]
+        if row["ev"] == "answered":
+            since[key] = 0.0
+        elif key in since:
+            since[key] = since[key] or row["t"]
+            if row["t"] - max(begins, since[key]) > limit:
+                yield Break(
+                    1,
+                    since[key] - begins,
+                    key[0],
+                    f"no answer for {key[1]} for {row['t'] - since[key]:.1f} s",
+                )
+                since[key] = row["t"]
+
+
+def dns_error(rows: list[dict[str, Any]], begins: float, ends: float, span: float = 10.0) -> float:
+    """How far DNS clients' txns are from the weights: the part that would have to go elsewhere, over spans
+    of some seconds, weighed by their txns; 0 is exact."""
+    tries = defaultdict[tuple[int, str, str], dict[str, float]](lambda: defaultdict(float))
+    wants = defaultdict[tuple[int, str, str], dict[str, float]](lambda: defaultdict(float))
+    nearest = dict[str, str]()  # region -> the manager whose answers most of its resolvers use
+    for row in rows:
+        if not begins <= row["t"] < ends:
+            continue
+        turn = int((row["t"] - begins) / span)
+        if row["ev"] == "try" and "front" in row:
+            tries[turn, row["product"], row["region"]][row["server"]] += 1
+            nearest.setdefault(row["region"], row["front"])
+        elif row["ev"] == "split":
+            pools = defaultdict[tuple[str, str], dict[str, float]](dict)
+            for product, region, server, weight, *_ in row["rows"]:
+                pools[product, region][server.lower()] = float(weight)
+            for (product, region), pool in pools.items():
+                if nearest.get(region, row["manager"]) == row["manager"]:
+                    for server, weight in pool.items():
+                        wants[turn, product, region][server] += weight / sum(pool.values())
+    off = whole = 0.0
+    for key, got in tries.items():
+        want, many = wants.get(key), sum(got.values())
+        if want:
+            scale = sum(want.values())
+            names = {*got, *want}
+            off += many * sum(abs(got.get(n, 0) / many - want.get(n, 0) / scale) for n in names) / 2
+            whole += many
+    return off / whole if whole else 0.0
+
+
 def _fallen(rows: list[dict[str, Any]], begins: float) -> Iterable[Break]:
     """Rule 4: no cold collector fell over."""
     for row in rows:
@@ -304,6 +387,7 @@
         declined / max(1, many),
         messages,
         many,
+        dns_error(rows, begins, ends) if day.resolvers else 0.0,
         {
             "service": [(second, a / b) for second, (a, b) in sorted(per_second.items()) if b],
             **_levels(rows, begins, ends),
--- a/rushladder/trials/play.py
+++ b/rushladder/trials/play.py
@@ -20,6 +20,7 @@
 from rushladder.standins.record import Record
 from rushladder.trials.day import Day, Happening, Site, seconds
 
+ZONE = "trial.test"
 SETTLE = 5.0  # s before the day begins: managers have taken their gateways, connections are open
 CLOSING = 1.5  # s after the day in which last answers come in
 
@@ -45,6 +46,7 @@
         self._record = Record(str(folder / "trial.jsonl"), "trial")
         ports = iter(free_ports(len(day.collectors) + len(day.gateways) + len(day.managers)))
         self._port = {site.name: next(ports) for site in (*day.collectors, *day.gateways, *day.managers)}
+        self._dns = dict(zip((m.name for m in day.managers), free_ports(len(day.managers)), strict=True))
         reporters = [site.name for site in day.collectors if site.reports]
         self._from = {name: f"127.0.1.{k + 1}" for k, name in enumerate(reporters)}
         self._reports = dict(zip((m.name for m in day.managers), free_ports(len(day.managers)), strict=True))
@@ -104,6 +106,14 @@
         for site in day.managers:
             if site is not manager:
                 lines += [f"peer {site.name}", f"    address {self._address(site)}"]
+        if day.resolvers:
+            lines += [
+                f"dns {ZONE}",
+                f"    bind 127.0.0.1:{self._dns[manager.name]}",
+                f"    ns ns.{ZONE}=127.0.0.1",
+                f"    usual {sum(one.load for one in day.resolvers) / len(day.managers):.2f}/s",
+                *("    " + " ".join(words) for words in day.dns),
+            ]
         if self._from:
             lines += [
                 "listen reports",
@@ -170,6 +180,9 @@
             }
             for p in day.products
         ]
+        self._populations(asks)
+        if not day.gateways:
+            return
         self._stand_in(
             "clients",
             {
@@ -181,6 +194,38 @@
             },
         )
 
+    def _populations(self, asks: list[dict[str, object]]) -> None:
+        first = 0
+        for one in self.day.resolvers:
+            fronts = sorted(self.day.managers, key=lambda m: m.region != one.region)
+            self._stand_in(
+                one.name,
+                {
+                    "kind": "resolvers",
+                    "asks": asks,
+                    "many": one.many,
+                    "zipf": one.zipf,
+                    "rate": one.load,
+                    "seed": self.day.seed + first,
+                    "region": one.region,
+                    "zone": ZONE,
+                    "fronts": [[m.name, self._dns[m.name]] for m in fronts],
+                    "ignore": one.ignore,
+                    "first": first,
+                },
+            )
+            first += one.many
+
+    def _split(self, manager: str) -> None:
+        """The DNS front's weights, by its own word; what they are held against is what collectors got."""
+        rows = list[list[str]]()
+        for answer in self._tell(manager + ".sock", "show dns", 0.3):
+            for line in answer.splitlines():
+                cells = line.split(",")
+                if len(cells) >= 7 and cells[0] in {product.name for product in self.day.products}:
+                    rows.append(cells)
+        self._record.note("split", manager=manager, rows=rows)
+
     def _stand_in(self, name: str, what: dict[str, object]) -> None:
         file = self.folder / f"{name}.json"
         file.write_text(
@@ -224,6 +269,8 @@
                 if "LinesOwed" in facts:
                     waits = int(facts["LinesOwed"]) + int(facts["LinesSent"])
                     self._record.note("waits", manager=manager.name, lines=waits)
+                if self.day.resolvers:
+                    self._split(manager.name)
 
     def _tell(self, control: str, text: str, patience: float = 3.0) -> list[str]:
         commands = [Command(words) for words in split(text)]
@@ -421,12 +468,16 @@
     def play(self) -> None:
         """Runs the day from start to end; whatever it started has ended when it returns."""
         self._describe()
+        traffic = [
+            name for name in ("clients", *(r.name for r in self.day.resolvers)) if name in self._commands
+        ]
         try:
             for name in self._commands:
-                if name != "clients":
+                if name not in traffic:
                     self._start(name)
             self._wait_for([f"{name}.ctl" for name in ("collectors", *(g.name for g in self.day.gateways))])
-            self._start("clients")
+            for name in traffic:
+                self._start(name)
             time.sleep(SETTLE)
             self._zero = time.monotonic()
             self._record.note("day", what="begins")
@@ -440,7 +491,8 @@
                     what()
                 time.sleep(0.005)
             self._record.note("day", what="ends")
-            self._tell("clients.ctl", "stop")
+            for name in traffic:
+                self._tell(name + ".ctl", "stop")
             time.sleep(CLOSING)
         finally:
             self._end()
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -84,6 +84,17 @@
         for name, share in shares.items():
             self.assertAlmostEqual(got[name] / whole, share.weight / 4, delta=0.01)
 
+    def test_where_the_answer_tells_weights_each_pays_for_its_part(self) -> None:
+        split, got = Split(), Counter[str]()
+        shares = {"a": Share(1.0), "b": Share(5.0), "c": Share(2.0)}
+        split.plan(shares, 20.0)
+        for turn in range(3000):
+            for name, part in split.pick(2, 1.0 + turn % 7, 2, turn * 500, weighed=True).items():
+                got[name] += part * (1.0 + turn % 7)  # type: ignore[assignment]
+        whole = sum(got.values())
+        for name, share in shares.items():
+            self.assertAlmostEqual(got[name] / whole, share.weight / 8, delta=0.01)
+
     def test_a_cold_server_never_gets_more_than_its_part_with_what_kept_answers_bring(self) -> None:
         split, draw, most = Split(), Random(3), 0.0
         split.plan({"a": Share(4.0), "b": Share(4.0), "cold": Share(1.0, True)}, 90.0)
@@ -134,7 +145,7 @@
             name = min(due, key=lambda one: due[one])
             now = int(due[name])
             asker = askers.heard(name, now, False)
-            asker.until, asker.servers = now + 2 * SECOND, ("s",)
+            asker.until, asker.servers = now + 2 * SECOND, {"s": 1.0}
             due[name] = now + 2 * SECOND + draw.expovariate(rates[name]) * SECOND
         for name, rate in rates.items():
             volume = askers.volume(askers.all[name])
@@ -149,8 +160,9 @@
             load = dict.fromkeys(("a", "b", "c", "d"), 0.0)
             for name, look in looks.items():
                 asker = askers.heard(name, now + int(SECOND / look), True)
-                asker.until, asker.servers = now + 3 * SECOND, (draw.choice("abcd"),)
-                load[asker.servers[0]] += rates[name]
+                server = draw.choice("abcd")
+                asker.until, asker.servers = now + 3 * SECOND, {server: 1.0}
+                load[server] += rates[name]
             askers.period(load, now + SECOND)
         for name, rate in rates.items():
             volume = askers.volume(askers.all[name])
