A question's name that could not be written back is malformed: found by five minutes of fuzzing

twisted.names reads labels of over 63 bytes and labels with a dot, and raises as it writes them back: an exception for each such packet.

--- a/rushladder/dnsfront/wire.py
+++ b/rushladder/dnsfront/wire.py
@@ -32,6 +32,8 @@
         raise Unreadable(b"")  # no header, or an answer: answering those could go round for ever
     message: Any = dns.Message()
     try:
+        if data[4:6] != b"\0\0":
+            _check_name(data)
         message.fromStr(data)
         edns, opts = None, 0
         for record in message.additional:
@@ -59,6 +61,20 @@
         raise Unreadable(number + bytes([0x80 | opcode << 3, Rcode.FORMERR]) + bytes(8)) from None
 
 
+def _check_name(data: bytes) -> None:
+    """Raises ValueError for a question's name that twisted.names would read, but could not write again:
+    labels over 63 bytes, or with a dot in them, and names over 255 bytes. Pointers have nothing to point
+    to here."""
+    place = HEADER
+    while (length := data[place]) != 0:
+        label = data[place + 1 : place + 1 + length]
+        if length > 63 or b"." in label:
+            raise ValueError("a name that is none")
+        place += 1 + length
+    if place - HEADER >= 255:
+        raise ValueError("a name too long")
+
+
 def _read_opt(record: Any, many: int) -> Edns:
     size, version = record.cls, record.ttl >> 16 & 255
     data: bytes = getattr(record.payload, "data", b"")
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -400,10 +400,10 @@
             got = Counter[str]()
             for turn in range(120):
                 for k in range(6):
-                    for name in self.world.named(
+                    for one in self.world.named(
                         "_ask._tcp.a.svc.example", kind="SRV", tcp=True, source=f"::{k}"
                     ):
-                        got[f"s{name}"] += 1
+                        got[f"s{one}"] += 1
                 for k in range(60 if flood else 0):
                     front.answer(data, f"10.{turn}.{k}.1")
                 self.world.run(0.11)
@@ -414,6 +414,16 @@
         for name, many in found[0].items():
             self.assertAlmostEqual(found[1][name] / many, 1.0, delta=0.1)
 
+    def test_made_up_askers_make_no_overload(self) -> None:
+        front = self.world.front()
+        data = dns.message.make_query("_ask._tcp.a.svc.example", "SRV").to_wire()
+        for _ in range(8):
+            for k in range(500):
+                front.answer(data, f"10.{k % 250}.{k // 250}.1")
+            self.world.run(2.01)
+        demand = front.pools["ask", "a"].askers.demand
+        self.assertTrue(0 < demand <= 4 * 20 / 2 / 2, demand)  # four times what is usual there
+
     def test_an_answer_by_tcp_is_the_one_that_was_truncated(self) -> None:
         first = self.world.named("_ask._tcp.a.svc.example", kind="SRV")
         self.world.managers["m0"].core.warden.propose("t", "w", [(("ask", "s0"), 0.9)], [], 0)
@@ -518,8 +528,16 @@
 
     def test_loops_and_endless_names_are_malformed(self) -> None:
         head = struct.pack("!6H", 7, 0, 1, 0, 0, 0)
-        for name in (b"\xc0\x0c", b"\x01a\xc0\x0c", b"\x3f" + b"a" * 63 + b"\xc0\x0c", b"\x3fa" * 30_000):
-            answer = self.world.front().answer(head + name + b"\0\1\0\1", "192.0.2.1")
+        for name in (
+            b"\xc0\x0c",
+            b"\x80" + b"a" * 128 + b"\0",
+            b"\4a.bc\3svc\7example\0",
+            b"\1a" * 128 + b"\0",
+            b"\x01a\xc0\x0c",
+            b"\x3f" + b"a" * 63 + b"\xc0\x0c",
+            b"\x3fa" * 30_000,
+        ):
+            answer = self.world.front().answer(head + name + b"\0\1\0\1", f"192.0.{len(name) % 250}.1")
             self.assertEqual(answer[:2] + answer[3:4], struct.pack("!HB", 7, 1))
         self.assertEqual(self.world.front().answer(b"\0\7\x80" + bytes(20), "192.0.2.1"), b"")  # an answer
 
