--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -35,13 +35,13 @@
 BEAT = 0.1  # the beat is short here, so that ten seconds give a hundred of them
 
 
-def report(k: int, number: int) -> bytes:
+def report(k: int, number: int, uptime: float) -> bytes:
     return Envelope(
         server=f"c{k}",
         token=bytes([k]) * 8,
         boot=1,
         number=number,
-        uptime=10 * number,
+        uptime=int(1000 * uptime),
         report=OrcaLoadReport(cpu_utilization=0.3 + 0.005 * (k % 50)),
     ).SerializeToString()
 
@@ -63,7 +63,7 @@
         while sent < rate * now:
             number += 1
             k = number % SERVERS if number % 50 == 0 else number % flood
-            word = report(k, number)
+            word = report(k, number, now)
             if tcp:
                 word = rest.pop(k, b"") or len(word).to_bytes(4, "big") + word
             with contextlib.suppress(OSError):
