--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -454,11 +454,14 @@
             table.wanted, table.want = {}, max(1e-3, told + sum(
                 self._demand.rate(member, product) for member in members for product in table.products))
         for near in (lambda t, s: s.zone == t.zone and s.place % teams[s.zone] == t.team,
-                     lambda t, s: s.zone == t.zone, lambda t, s: True):
+                     lambda t, s: s.zone == t.zone, lambda t, s: s.zone != t.zone):
             for table in tables:
                 # What spills goes to as few as have room for it, first those that have a line.
                 some = sorted((s for s in may[table] if near(table, s)), key=lambda s: s not in table.lines)
-                for each in [some] if not table.wanted else [[server] for server in some]:
+                # Far, a large surplus goes to all: filled to the brim, few servers would be the slowest.
+                left, free = table.want - sum(table.wanted.values()), sum(room.get(s, 0.0) for s in some)
+                even = not table.wanted or (left > 0.6 * free and all(s.zone != table.zone for s in some))
+                for each in [some] if even else [[server] for server in some]:
                     self._pour(table, each, room)
         for table in tables:
             for least in (1, 0):  # where none has room, what is warm, or else whatever there is
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -259,6 +259,16 @@
         self.assertLess(max(len(host.lines(tbl)) for _, tbl, _ in host.named("bind")), 24)
         self.assertEqual(len({server for tbl in range(4) for server in host.lines(tbl)}), 48)
 
+    def test_a_small_surplus_goes_to_few_far_servers_and_a_large_one_to_all(self) -> None:
+        for each, least, most in ((13, 1, 3), (30, 8, 8)):
+            host = FakeHost(servers=16, gateways=8)
+            host.busy = {gateway: each for gateway in host.gateways if gateway.zone == "a"}
+            host.join()
+            host.run(20)
+            tables = {tbl for gateway, tbl, _ in host.named("bind") if gateway.zone == "a"}
+            far = {server for tbl in tables for server in host.lines(tbl) if server.zone == "b"}
+            self.assertTrue(least <= len(far) <= most, (each, len(far)))
+
     def test_moves_of_weights_take_half_of_the_channel(self) -> None:
         host = FakeHost(servers=48, gateways=600, zones=("a",), pending=90_000.0)
         host.join()
