--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -453,8 +453,10 @@
             told = sum(away[table.zone, product] for product in table.products) / teams[table.zone]
             table.wanted, table.want = {}, max(1e-3, told + sum(
                 self._demand.rate(member, product) for member in members for product in table.products))
-        for near in (lambda t, s: s.zone == t.zone and s.place % teams[s.zone] == t.team,
-                     lambda t, s: s.zone == t.zone, lambda t, s: s.zone != t.zone):
+        tiers: tuple[Callable[[Table, Server], bool], ...] = (
+            lambda t, s: s.zone == t.zone and s.place % teams[s.zone] == t.team,
+            lambda t, s: s.zone == t.zone, lambda t, s: s.zone != t.zone)
+        for near in tiers:
             for table in tables:
                 # What spills goes to as few as have room for it, first those that have a line.
                 some = sorted((s for s in may[table] if near(table, s)), key=lambda s: s not in table.lines)
