A story of DNS answers across a cut between regions

Without questions of the far region nothing spills there, as the module has it: zones that nobody asks for count for none.

--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -28,7 +28,7 @@
 from rushladder.dnsfront.split import TWICE, Share, Split
 from rushladder.structures.choice import Alias, Fenwick, Linear, Stride
 from tests.test_paths import ctl
-from tests.world import World
+from tests.world import Prober, World
 
 SECOND = 10_000
 weights = st.dictionaries(st.integers(0, 30), st.floats(0.01, 100), min_size=1, max_size=20)
@@ -480,6 +480,41 @@
             self.assertLessEqual(standing, allowed + 1e-9)
         self.assertGreater(most, 0.0)
 
+    def test_across_a_cut_each_manager_names_whom_it_reaches_and_all_again_after_it(self) -> None:
+        world = DnsWorld(gateways=2, managers=2)
+        here, there = Prober(), Prober()
+        world.managers["m0"]._prober, world.managers["m1"]._prober = here, there
+        world.run(8, rate=10)
+
+        def live(seconds: float) -> None:
+            """Resolvers of the far region go on asking both."""
+            for _ in range(int(seconds / 0.13)):
+                for manager in world.managers:
+                    world.named(
+                        "_ask._tcp.b.svc.example", kind="SRV", tcp=True, source="::9", manager=manager
+                    )
+                world.run(0.13, rate=1)
+
+        def named(manager: str) -> set[int]:
+            found = set[int]()
+            for k in range(20):
+                source = f"::{int(world.clock.seconds())}:{k}"
+                some = world.named(
+                    "_ask._tcp.b.svc.example", kind="SRV", tcp=True, source=source, manager=manager
+                )
+                self.assertTrue(some)  # rule 1, on both sides
+                found |= some
+            return found
+
+        here.sick |= {"127.0.0.1:7001", "127.0.0.1:7003"}  # the far region's, as either sees it
+        there.sick |= {"127.0.0.1:7000", "127.0.0.1:7002"}
+        live(14)
+        self.assertEqual((named("m0"), named("m1")), ({0, 2}, {1, 3}))
+        here.sick.clear()
+        there.sick.clear()
+        live(40)
+        self.assertTrue(named("m0") & {1, 3})
+
     def test_dns_demand_reaches_the_module(self) -> None:
         world = DnsWorld()
         world.run(8, rate=1)
