DNS: after a start cold servers wait until former answers have run out

Found on reading the change again: the life of what was answered before a start was known and used nowhere, so a cold server could be named on top of what kept answers still bring (rule 4). Such servers are left out for one TTL where someone warm is there; a story of it, and of rule 1 going first.

--- a/rushladder/dnsfront/front.py
+++ b/rushladder/dnsfront/front.py
@@ -212,7 +212,9 @@
             if targets.keys() != pool.targets.keys():
                 self._serial = max(self._serial + 1, int(self._wall()))
             pool.targets, pool.planned = targets, pool.planned or bool(targets)
-            pool.split.plan(shares, pool.askers.demand or seat.gateway.usual_rate / len(self._core.products))
+            settled = self.lifetimes.settled(tenths(self._clock))
+            demand = pool.askers.demand or seat.gateway.usual_rate / len(self._core.products)
+            pool.split.plan(shares, demand, settled)
             pool.level = int(float(port.held.maps.get(LEVELS_MAP, {}).get(product.name, "1000")))
         self._addresses.clear()
         for name, one in listed.items():
--- a/rushladder/dnsfront/split.py
+++ b/rushladder/dnsfront/split.py
@@ -40,9 +40,12 @@
         self._ends = deque[tuple[int, dict[str, float]]]()  # seconds in which answers run out, in their order
         self._whole, self.demand, self.cold = 0.0, 0.0, False  # cold: whether any server of the plan is
 
-    def plan(self, shares: Mapping[str, Share], demand: float) -> None:
-        """What the decisions say now, and the txns a second that are taken to come to the pool."""
-        self.demand = demand
+    def plan(self, shares: Mapping[str, Share], demand: float, settled: bool = True) -> None:
+        """What the decisions say now, and the txns a second that are taken to come to the pool. settled:
+        whether all that was answered before this start has run out; until then nobody knows what it still
+        brings, and cold servers are left out as long as there are warm ones (rule 4)."""
+        warm = {name: share for name, share in shares.items() if not share.cold}
+        shares, self.demand = shares if settled or not warm else warm, demand
         if shares == self.shares:
             return
         for one, other in ((self._cold, self._warm), (self._warm, self._cold)):
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -107,6 +107,15 @@
         self.assertGreater(most, 5.0)  # it is used,
         self.assertLessEqual(most, 10.0 + 1e-9)  # up to its ninth of 90 and no more
 
+    def test_after_a_start_cold_servers_wait_until_former_answers_have_run_out(self) -> None:
+        split, shares = Split(), {"warm": Share(1.0), "cold": Share(1.0, True)}
+        split.plan(shares, 10.0, settled=False)
+        self.assertEqual({name for k in range(20) for name in split.pick(2, 1.0, 2, k)}, {"warm"})
+        split.plan({"cold": Share(1.0, True)}, 10.0, settled=False)  # rule 1 is first
+        self.assertEqual(set(split.pick(2, 1.0, 2, 30)), {"cold"})
+        split.plan(shares, 10.0)
+        self.assertIn("cold", {name for k in range(20) for name in split.pick(2, 1.0, 2, 40 * SECOND + k)})
+
     def test_where_nearly_all_are_cold_the_pool_is_never_answered_empty(self) -> None:
         split = Split()
         split.plan({f"c{k}": Share(1.0, True) for k in range(40)} | {"warm": Share(1.0)}, 4.0)
