--- /dev/null
+++ b/rushladder/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's list of workers: read whole or by a watch on its changes."""
--- a/rushladder/benchlink/birth.py
+++ b/rushladder/conf/birth.py
@@ -1,25 +1,37 @@
-"""Turns the settings of an instance's start into what the module's parts ask for, in our words and times."""
+"""Turns the settings of a manager's start into what the module's parts ask for, in our words and times.
+
+Both roads read them here: the simulator's first message holds them, and so does a manager's configuration on
+the platform. Their times are microseconds.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 from typing import Any
 
-from rushladder.benchlink.wire import WireError, tenths
 from rushladder.interface import Channel, Guarantee, LevelUnit, Product, Repeat
 
+PER_TENTH = 100  # microseconds for each tenth of a millisecond inside
 REPEATS = {"retryable": Repeat.INQUIRY_LIKE, "dedup": Repeat.REFERENCED, "fragile": Repeat.ONCE_ONLY}
 UNITS = {"ratio": LevelUnit.RATIO, "rps": LevelUnit.RATE, "silent": LevelUnit.IGNORED}
 
 
+class Unfit(ValueError):
+    """The settings are not what their description allows."""
+
+
+def tenths(micros: float) -> int:
+    return int(micros) // PER_TENTH
+
+
 def birth(boot: Mapping[str, Any]) -> dict[str, Any]:
-    """The keyword arguments of a manager."""
+    """The keyword arguments of a manager. Raises Unfit with the reason."""
     try:
         return _birth(boot)
     except KeyError as missing:
-        raise WireError(f"NewInstance: boot_info lacks {missing}") from None
-    except (TypeError, ValueError, AttributeError) as trouble:
-        raise WireError(f"NewInstance: boot_info cannot be read: {trouble}") from None
+        raise Unfit(f"lacks {missing}") from None
+    except (TypeError, ValueError, AttributeError, OverflowError) as trouble:
+        raise Unfit(f"cannot be read: {trouble}") from None
 
 
 def _birth(boot: Mapping[str, Any]) -> dict[str, Any]:
--- a/rushladder/core/host.py
+++ b/rushladder/core/host.py
@@ -9,9 +9,7 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable, Collection, Mapping, Sequence
-from itertools import count
 from random import Random
 from typing import Any
 
@@ -19,6 +17,7 @@
 
 from rushladder.brain import Gateway, Manager, Server
 from rushladder.core.pace import Pace
+from rushladder.core.reminders import Reminders
 from rushladder.core.roster import Roster
 from rushladder.gateways.difference import Admin, Held, Key, Line, server_commands, sweep_commands
 from rushladder.gateways.rounding import round_pool
@@ -36,7 +35,6 @@
     ListKind,
     Product,
     Proxy,
-    Reminder,
     Retry,
     Worker,
 )
@@ -154,7 +152,7 @@
         self._cold_from, self._gateways, self._held = guarantee.cold_from, tuple(gateways), frozenset[str]()
         self.ports = dict[Gateway, Port]()
         self._touched, self._ready = dict[Port, None](), dict[Port, None]()
-        self._wakes, self._order = list[tuple[int, int, int]](), count()
+        self._reminders = Reminders()
         self.probes, self.words, self.notes = list[Server](), list[bytes](), list[str]()
         self.applied_in = list[int]()  # order-to-applied times since they were last taken
         self.manager = Manager(
@@ -180,8 +178,8 @@
     def take(self, now: int, *events: Event) -> None:
         """One batch of events; whatever reminders are due by `now` come first."""
         self._now = max(now, self._now)
-        while self._wakes and self._wakes[0][0] <= self._now:
-            self.manager.take(Reminder(heapq.heappop(self._wakes)[2]))
+        for reminder in self._reminders.due(self._now):
+            self.manager.take(reminder)
         for event in events:
             self.manager.take(event)
             if isinstance(event, Listing):
@@ -197,7 +195,7 @@
         return [port for port in ready if self.ports.get(port.gateway) is port]
 
     def next_wake(self) -> int | None:
-        return self._wakes[0][0] if self._wakes else None
+        return self._reminders.next()
 
     def joined(self, gateway: Gateway, held: Held, capped: bool = True) -> Port:
         """A gateway that this manager holds from now on; the caller gives the module its Joined with
@@ -495,7 +493,7 @@
         """As for `watch`."""
 
     def wake(self, after: int, token: int) -> None:
-        heapq.heappush(self._wakes, (self._now + max(1, after), next(self._order), token))
+        self._reminders.add(self._now + max(1, after), token)
 
     def log(self, words: str) -> None:
         self.notes.append(words)
--- /dev/null
+++ b/rushladder/service/node.py
@@ -0,0 +1,305 @@
+"""A manager on the operators' platform: what the environment and the configuration file say, built and
+served.
+
+Started by `run` of the deploy file. Everything that this road has no use for (memory, DNS, load reports by
+UDP, the runtime sockets, the guard) is neither built nor imported here.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import attrs
+from twisted.internet.defer import DeferredSemaphore
+from twisted.logger import ILogObserver, LogLevel, globalLogBeginner
+from zope.interface import provider
+
+from rushladder.brain import Server
+from rushladder.catalog.reader import Catalog, Faulty
+from rushladder.catalog.watch import Watch
+from rushladder.conf.birth import Unfit, birth
+from rushladder.conf.objects import LogForm
+from rushladder.core.workers import Workers
+from rushladder.interface import Event, PeerWord, Probed, ProbeResult
+from rushladder.peers.bare import BareLink, Place
+from rushladder.service.logs import make_log
+from rushladder.service.notes import Notes
+from rushladder.service.probing import CONNECT_MOST, HttpProber, numeric_agent
+from rushladder.streams.codec import load_report
+from rushladder.streams.front import Front
+from rushladder.streams.host import StreamHost
+from rushladder.timing import TENTHS
+
+CONFIG, NAME, LISTEN, DISCOVERY = "RELAY_CONFIG", "RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY"
+EPOCH = 100_000 * TENTHS  # the module's clock at the start: a day, so that starts before it have a place
+PROBES = 16  # at once: with some 30 workers each beat is over in two helpings
+RESERVE = 32  # descriptors beside streams and probes: log, poll, listeners, watches old and new, a margin
+PERIOD = 10.0  # s between two lines of figures in the log
+HEALTH, REPORT = "/ping", "/_load"
+
+
+class Wrong(ValueError):
+    """The configuration can't be used; says which field, and what is allowed."""
+
+
+def _place(text: Any, field: str) -> Place:
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not port.isdigit() or not 0 < int(port) < 65_536 or not host:
+        raise Wrong(f"{field} should be ADDRESS:PORT")
+    return host, int(port)
+
+
+@attrs.frozen
+class Site:
+    """What one manager is told at its start."""
+
+    name: str
+    listen: Place
+    discovery: Place
+    seed: int
+    sockets: int
+    me: int
+    proxies: int
+    peer_listen: Place | None
+    peers: tuple[Place, ...]
+    peers_all: Place | None
+    known: Any
+    described: Mapping[str, Any]  # the module's keyword arguments
+    report: str  # where load reports come from: "piggyback", "pull" or "silent"
+    reported: frozenset[str]  # the values in them
+
+
+def read_site(environment: Mapping[str, str]) -> Site:
+    """Reads the file that the environment names. Raises Wrong."""
+    path = environment.get(CONFIG)
+    if not path:
+        raise Wrong(f"{CONFIG} is not set; it should name the configuration file")
+    try:
+        raw = json.loads(Path(path).read_bytes())
+    except OSError as trouble:
+        raise Wrong(f"the configuration can't be read: {trouble.strerror}") from None
+    except (ValueError, RecursionError):
+        raise Wrong("the configuration is not JSON") from None
+    if not isinstance(raw, dict):
+        raise Wrong("the configuration should be an object")
+    return _site(raw, environment)
+
+
+def _site(raw: Mapping[str, Any], environment: Mapping[str, str]) -> Site:
+    settings, limits = raw.get("settings"), raw.get("limits", {})
+    if not isinstance(settings, dict) or not isinstance(limits, dict):
+        raise Wrong("settings and limits should be objects")
+    try:
+        described = birth(settings)
+        me, proxies = int(settings["me"]), int(settings["family_info"]["proxies"])
+        reporting = settings.get("reporting", {})
+        report, fields = str(reporting.get("how", "silent")), frozenset(map(str, reporting.get("fields", ())))
+    except Unfit as trouble:
+        raise Wrong(f"settings {trouble}") from None
+    except KeyError as missing:
+        raise Wrong(f"settings lack {missing}") from None
+    except (TypeError, ValueError, AttributeError) as trouble:
+        raise Wrong(f"settings cannot be read: {trouble}") from None
+    try:
+        seed = int(str(raw.get("seed", "0")), 16)
+        sockets = int(limits.get("sockets", 1024))
+    except (TypeError, ValueError):
+        raise Wrong("seed should be hexadecimal, limits.sockets a whole number") from None
+    peers = raw.get("peers") or ()
+    if not isinstance(peers, list | tuple):
+        raise Wrong("peers should be a list of ADDRESS:PORT")
+    return Site(
+        name=str(raw.get("name") or environment.get(NAME, "")),
+        listen=_place(raw.get("listen") or environment.get(LISTEN), "listen"),
+        discovery=_place(raw.get("discovery") or environment.get(DISCOVERY), "discovery"),
+        seed=seed, sockets=sockets, me=me, proxies=proxies,
+        peer_listen=_place(raw["peer_listen"], "peer_listen") if raw.get("peer_listen") else None,
+        peers=tuple(_place(peer, "peers") for peer in peers),
+        peers_all=_place(raw["peers_all"], "peers_all") if raw.get("peers_all") else None,
+        known=raw.get("known"), described=described, report=report, reported=fields)
+
+
+class Node:
+    """One manager and its sockets. monotonic, wall: seconds; the module's clock is the first, which never
+    runs backwards, and the second only places the workers' starts on it."""
+
+    def __init__(self, site: Site, reactor: Any, log: Any, monotonic: Callable[[], float] = time.monotonic,
+                 wall: Callable[[], float] = time.time) -> None:
+        self.site, self._reactor, self._log = site, reactor, log
+        self._monotonic, self._wall, self._zero = monotonic, wall, monotonic()
+        self.notes = Notes(log, reactor)
+        self._batch, self._turn, self._wake = list[Event](), False, None  # type: list[Event], bool, Any
+        self._late = self._slow = 0.0
+        # Not the module's own draws: its chance depends on its events alone.
+        draw = Random(site.seed ^ 0x5EED).random
+        agent = numeric_agent(reactor, CONNECT_MOST)
+        path = REPORT if site.report == "pull" else HEALTH
+        self._prober, self._probing = HttpProber(reactor, path, agent), dict[Server, None]()
+        self._room = DeferredSemaphore(PROBES)
+        self.words = BareLink(site.me, site.peers, site.peers_all, self._heard, self.notes.note)
+        self.workers = Workers()
+        self.catalog = Catalog(self.workers, self.placed, self.notes.note)
+        self.host = StreamHost(site.seed, site.described, self.now(), self._probe, self.words.tell)
+        self._first_list()
+        self.watch = Watch(agent, f"{site.discovery[0]}:{site.discovery[1]}", self.catalog, reactor, draw,
+                           self.give, self.notes.note)
+        self.front = Front(self.host, self.workers, reactor, tuple(site.described["zones"]), site.proxies,
+                           site.reported, max(1, site.sockets - RESERVE - PROBES), self.give, self.notes.note)
+
+    def _first_list(self) -> None:
+        """Steers by the list as it was before the start until discovery is heard."""
+        try:
+            listing = self.catalog.told(self.site.known, cached=True) if self.site.known else None
+        except Faulty as trouble:
+            self.notes.note("known.faulty", str(trouble))
+            listing = None
+        self._take([listing] if listing is not None else [])
+
+    def start(self) -> None:
+        site = self.site
+        if site.peer_listen is not None and site.described["may_tell"]:
+            self._reactor.listenUDP(site.peer_listen[1], self.words, interface=site.peer_listen[0])
+        self.watch.start()
+        self._figures()
+        self._reactor.listenTCP(site.listen[1], self.front, backlog=1024, interface=site.listen[0])
+        self._log.info("node.serves", name=site.name, workers=len(self.catalog.known), proxies=site.proxies,
+                       places=self.front.places)
+
+    # Time.
+
+    def now(self) -> int:
+        return EPOCH + int((self._monotonic() - self._zero) * TENTHS)
+
+    def placed(self, unix_ms: float) -> int:
+        return max(1, self.now() - int((self._wall() * 1000 - unix_ms) * TENTHS / 1000))
+
+    # Events in, orders out: all that one turn of the reactor read is one batch.
+
+    def give(self, event: Event) -> None:
+        self._batch.append(event)
+        if not self._turn:
+            self._turn = True
+            self._reactor.callLater(0, self._close)
+
+    def _close(self) -> None:
+        batch, self._batch, self._turn = self._batch, [], False
+        self._take(batch)
+
+    def _woken(self) -> None:
+        due = self.host.next()
+        if due is not None:
+            self._late = max(self._late, (self.now() - due) / TENTHS)
+        self._close()
+
+    def _take(self, batch: list[Event]) -> None:
+        began = self._monotonic()
+        try:
+            self.host.take(self.now(), batch)
+        finally:
+            self._slow = max(self._slow, self._monotonic() - began)
+            due = self.host.next()
+            if due is not None:
+                if self._wake is not None and self._wake.active():
+                    self._wake.cancel()
+                wait = max(0.0, (due - self.now()) / TENTHS) + 1e-4
+                self._wake = self._reactor.callLater(wait, self._woken)
+
+    def _probe(self, server: Server) -> None:
+        address = self.catalog.address(server)
+        # One at a time: a late answer says enough when it comes.
+        if address is None or server in self._probing:
+            return
+        self._probing[server] = None
+        asked = self.now()
+
+        def done(found: Any) -> None:
+            self._probing.pop(server, None)
+            result, body = found if isinstance(found, tuple) else (ProbeResult.ERROR, b"")
+            load = {name: value for name, value in load_report(body).items() if name in self.site.reported}
+            self.give(Probed(server, result, self.now() - asked, load))
+
+        self._room.run(self._prober.probe_load, address).addBoth(done)
+
+    def _heard(self, peer: int, data: bytes) -> None:
+        self.give(PeerWord(peer, data))
+
+    # Signals and figures.
+
+    def reload(self, environment: Mapping[str, str] = os.environ) -> None:
+        """Reads the configuration again: the watch goes on at the place that it names now. A faulty file
+        changes nothing."""
+        try:
+            site = read_site(environment)
+        except Wrong as trouble:
+            self.notes.note("reload.refused", str(trouble))
+            return
+        self._log.info("reload", discovery=f"{site.discovery[0]}:{site.discovery[1]}")
+        self.watch.move(f"{site.discovery[0]}:{site.discovery[1]}")
+
+    def _figures(self) -> None:
+        self._reactor.callLater(PERIOD, self._figures)
+        self._log.info(
+            "figures", streams=len(self.host.ports), strangers=len(self.front.strangers),
+            version=self.catalog.version, listed=len(self.catalog.known), workers=len(self.workers),
+            list_age=round(self._reactor.seconds() - self.watch.heard_at, 1), descriptors=_descriptors(),
+            rss_mb=_rss_mb(), late_ms=round(1000 * self._late), slow_ms=round(1000 * self._slow),
+            lines=self.host.lines, messages=self.host.messages, faults=self.notes.totals())
+        self._late = self._slow = 0.0
+
+
+def _descriptors() -> int:
+    try:
+        return len(os.listdir("/proc/self/fd")) - 1
+    except OSError:
+        return -1
+
+
+def _rss_mb() -> float:
+    try:
+        with open("/proc/self/statm") as file:
+            return round(int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20, 1)
+    except OSError:
+        return -1.0
+
+
+def main() -> int:
+    """Serves until SIGTERM. Leaves with 2 and one line if the configuration is faulty."""
+    log = make_log(LogForm("json", "info"))
+    try:
+        site = read_site(os.environ)
+    except Wrong as trouble:
+        log.error("configuration", why=str(trouble))
+        return 2
+    from twisted.internet import reactor as found
+
+    reactor: Any = found
+
+    def observe(event: Mapping[str, Any]) -> None:
+        if event.get("log_level") in (LogLevel.error, LogLevel.critical):
+            failure = event.get("log_failure")
+            notes.note("error", failure.getTraceback()[-1500:] if failure else str(event.get("log_format")))
+
+    notes = Notes(log, reactor)
+    globalLogBeginner.beginLoggingTo(
+        [provider(ILogObserver)(observe)], redirectStandardIO=False, discardBuffer=True)
+    node = Node(site, reactor, log)
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reload))
+    reactor.callWhenRunning(node.start)
+    gc.collect()
+    gc.freeze()  # what was imported stays: collections need not walk it again and again
+    reactor.run()
+    log.info("node.ended", **{"streams": len(node.host.ports)})
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rushladder/service/probing.py
+++ b/rushladder/service/probing.py
@@ -4,17 +4,20 @@
 
 from typing import Any
 
-from twisted.internet import error
+from twisted.internet import endpoints, error
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import ConnectError
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, ResponseFailed, readBody
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
 
 from rushladder.interface import ProbeResult
 
 CONNECT_MOST = 0.3  # s for a connection: a hundred times the way between regions
 ANSWER_MOST = 1.0  # s for an answer: the module's beat, so that one probe is over when the next is asked for
 PATH = "/health"
+REPORT_MOST = 1024  # bytes of a load report: ten times four values with their names
 TURNED_AWAY = (429, 503)  # too busy, or draining
 ENDINGS: tuple[tuple[type[BaseException], ProbeResult], ...] = (
     (error.TimeoutError, ProbeResult.TIMED_OUT),
@@ -26,20 +29,49 @@
 )
 
 
+@implementer(IAgentEndpointFactory)
+class Numeric:
+    """Endpoints for addresses that are numbers already: no resolver, and none of its threads."""
+
+    def __init__(self, reactor: Any, within: float) -> None:
+        self._reactor, self._within = reactor, within
+
+    def endpointForURI(self, uri: Any) -> Any:
+        return endpoints.TCP4ClientEndpoint(self._reactor, uri.host.decode(), uri.port, timeout=self._within)
+
+
+def numeric_agent(reactor: Any, within: float) -> Any:
+    """An HTTP client for numeric addresses, whose connections take at most `within` seconds."""
+    return Agent.usingEndpointFactory(reactor, Numeric(reactor, within))
+
+
 class HttpProber:
-    """One `GET /health` on a connection of its own for each probe."""
+    """One GET on a connection of its own for each probe. path: what is asked for."""
 
-    def __init__(self, reactor: Any) -> None:
-        self._agent, self._reactor = Agent(reactor, connectTimeout=CONNECT_MOST), reactor
+    def __init__(self, reactor: Any, path: str = PATH, agent: Any = None) -> None:
+        self._agent = agent or Agent(reactor, connectTimeout=CONNECT_MOST)
+        self._reactor, self._path = reactor, path
 
     def probe(self, address: str) -> Deferred[ProbeResult]:
-        asked: Deferred[Any] = self._agent.request(b"GET", f"http://{address}{PATH}".encode())
+        asked: Deferred[Any] = self._agent.request(b"GET", f"http://{address}{self._path}".encode())
         asked.addTimeout(ANSWER_MOST, self._reactor)
         asked.addCallbacks(self._answered, self._failed)
         return asked
 
+    def probe_load(self, address: str) -> Deferred[tuple[ProbeResult, bytes]]:
+        """The same, with the answer's body: a load report."""
+        asked: Deferred[Any] = self._agent.request(b"GET", f"http://{address}{self._path}".encode())
+        asked.addCallback(lambda response: readBody(response).addCallback(
+            lambda body: (self._result(response), body[:REPORT_MOST])))
+        asked.addTimeout(ANSWER_MOST, self._reactor)
+        asked.addErrback(lambda failure: (self._failed(failure), b""))
+        return asked
+
     def _answered(self, response: Any) -> ProbeResult:
         readBody(response).addErrback(lambda _: None)
+        return self._result(response)
+
+    def _result(self, response: Any) -> ProbeResult:
         if response.code in TURNED_AWAY:
             return ProbeResult.TURNED_AWAY
         return ProbeResult.OK if response.code < 400 else ProbeResult.ERROR
--- a/rushladder/service/run.py
+++ b/rushladder/service/run.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-import logging
 import os
-import sys
 import time
 from pathlib import Path
 from typing import Any
 
-import structlog
 from twisted.internet import endpoints, reactor as _reactor, threads
 from twisted.internet.defer import Deferred
 
 from rushladder.conf.grammar import Address
-from rushladder.conf.objects import GatewaySite, LogForm, Plan
+from rushladder.conf.objects import GatewaySite, Plan
 from rushladder.dnsfront.ports import Datagrams as DnsDatagrams
 from rushladder.dnsfront.ports import Streams as DnsStreams
 from rushladder.intake.agent import Agent
@@ -24,6 +21,7 @@
 from rushladder.peers.link import PeerLink
 from rushladder.runtime.endpoint import RuntimeClient, RuntimeFactory
 from rushladder.service.api import verbs
+from rushladder.service.logs import make_log
 from rushladder.service.manager import Manager
 from rushladder.service.probing import HttpProber
 from rushladder.service.remembering import Remembering
@@ -42,24 +40,6 @@
 DIAL_MOST = 1.0  # s for a connection to a gateway's socket
 
 
-def make_log(form: LogForm, **bound: Any) -> Any:
-    render = (
-        structlog.processors.JSONRenderer()
-        if form.form == "json"
-        else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
-    )
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            render,
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, form.level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
-    )
-    return structlog.get_logger().bind(**bound)
-
-
 def client_endpoint(address: Address) -> Any:
     if address.path:
         return endpoints.UNIXClientEndpoint(reactor, address.path, timeout=DIAL_MOST)
