--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -169,8 +169,10 @@
         self.jammed = voided >= 0.25 * many
         for server, (n, v, s, t, _) in seen.items():
             ratio = t / s / (time / settled) if s >= 5 and t else 1.0
-            # Mostly quick voids where the others have few: sick. Slow voids mean too full, and cost weight.
-            by_tries = v >= 4 and v > 0.35 * n and voided - v < 0.1 * (many - n) and ratio < 1.5
+            # Mostly quick voids where the others have few: sick. Slow voids mean too full, and cost weight;
+            # slow for itself, or a server slow by nature would be taken for too full whatever it does to its
+            # txns.
+            by_tries = v >= 4 and v > 0.35 * n and voided - v < 0.1 * (many - n) and ratio * server.pace < 1.5
             # In a jam all probes fail: blaming one after the other would push over the rest.
             mute = server.bad_probes >= 2 and not (self.jammed or server.seen(now, 1 + demand.cycle())[2])
             # Rule 1: never the last one for a product of its zone.
@@ -387,13 +389,19 @@
         self._host, self._outbox, self._fleet, self._demand = host, outbox, fleet, demand
         self._levels, self._unit, self._zones = levels, unit, zones
         self._tables, self._debt, self._paid = dict[tuple[str, int], list[Table]](), 0.0, 0
+        self._split = dict[str, int]()
         eligible = [(product.models, product.zones, product.home_only) for product in products]
         self._groups = [[product for product, other in zip(products, eligible, strict=True) if other == kind]
                         for kind in dict.fromkeys(eligible)]
 
     def _teams(self, zone: str) -> int:
-        """Large zones are shared out by the dozen: a line costs each proxy a connection and messages."""
-        return max(1, round(sum(server.zone == zone for server in self._fleet.servers) / 12))
+        """Large zones are shared out by the dozen: a line costs each proxy a connection and messages. Proxies
+        are dealt once, so the number stays until it is off by three quarters: counting those that left, or
+        one that a release adds before it takes another, left all proxies on half of their zone's servers."""
+        dozens = sum(s.zone == zone and s.standing is not Standing.LEFT for s in self._fleet.servers) / 12
+        if abs(dozens - self._split.get(zone, -1)) > 0.75:
+            self._split[zone] = max(1, round(dozens))
+        return self._split[zone]
 
     def assign(self, gateway: Gateway) -> None:
         gateway.team = min(range(self._teams(gateway.zone)), key=lambda team: sum(
@@ -525,7 +533,7 @@
             whole = sum(table.wanted.values())
             some = sorted((server for server, move in moves.items() if (move < 0 and ramp(server) < 1)
                            or abs(move) > 0.1 * max(table.lines.get(server, 0.0), whole / len(table.wanted))),
-                          key=lambda s: (s.told is not Standing.SERVING, ramp(s)))
+                          key=lambda s: (s.told is not Standing.SERVING, ramp(s), -abs(moves[s])))
             # Where most of a table left, the rest gets all, which pushes a cold server over (rule 4).
             rest = {s: part for s, part in table.lines.items() if s.told is Standing.SERVING}
             cold = any(ramp(server) < 1 for server in (*some, *rest))
@@ -534,9 +542,15 @@
         self._debt = max(0.0, self._debt - 0.5 * self._outbox.pace * (self._host.now() - self._paid))
         self._paid, queued = self._host.now(), self._outbox.lines.waiting
         for urgent, _, table, some in sorted(turns, key=lambda turn: turn[:2], reverse=True):
-            for server in some if urgent or not self._debt else ():
+            for server in some:
+                # One that a release brought goes along with the levels of a long overload, which left no
+                # other line room for a minute, while withdrawals took the table's servers one by one.
+                comes = 0.7 * (server.zone == table.zone and server not in table.lines)
                 # Room is kept for joins and tables without a line (rules 1, 3), then for cold ones (rule 4).
-                if self._outbox.has_room(table.gateways, 1, urgent or 0.4):
+                # A message that goes out anyway costs no second head: moves ride along with its levels.
+                rides = 0.7 * (self._outbox.lines.price(table.gateways) <= len(table.gateways))
+                if (urgent or comes or not self._debt) and self._outbox.has_room(
+                        table.gateways, 1, max(urgent, comes, rides) or 0.4):
                     table.lines[server] = table.wanted.get(server, 0.0)
                     self._host.weigh(table.number, server, round(table.lines[server], 3))
                     self._outbox.lines.add(table.gateways)
--- a/rushladder/catalog/watch.py
+++ b/rushladder/catalog/watch.py
@@ -37,7 +37,7 @@
     def stop(self) -> None:
         transport: Any = self.transport
         if transport is not None:
-            transport.abortConnection()
+            transport.loseConnection()  # what a body's transport has: not all of a connection's own
 
 
 class Watch:
--- a/rushladder/service/node.py
+++ b/rushladder/service/node.py
@@ -293,11 +293,23 @@
         [provider(ILogObserver)(observe)], redirectStandardIO=False, discardBuffer=True)
     node = Node(site, reactor, log)
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reload))
-    reactor.callWhenRunning(node.start)
+    failed = list[str]()
+
+    def start() -> None:
+        try:
+            node.start()
+        except Exception as trouble:  # a process that can't listen must not stay and look alive
+            failed.append(f"{type(trouble).__name__}: {trouble}")
+            reactor.stop()
+
+    reactor.callWhenRunning(start)
     gc.collect()
     gc.freeze()  # what was imported stays: collections need not walk it again and again
     reactor.run()
-    log.info("node.ended", **{"streams": len(node.host.ports)})
+    if failed:
+        log.error("node.failed", why=failed[0])
+        return 1
+    log.info("node.ended", streams=len(node.host.ports))
     return 0
 
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -4,6 +4,7 @@
 import unittest
 from dataclasses import replace
 
+from rushladder.brain import Server
 from rushladder.interface import Availability, LevelUnit, ListKind, PeerWord, Retry
 from tests.fakehost import ASK, PAY, FakeHost
 
@@ -117,6 +118,15 @@
         host.run(12)
         self.assertNotEqual({server for server, out in host.named("hold_back") if out}, set(far))
 
+    def test_a_server_slow_by_nature_that_voids_is_sick_all_the_same(self) -> None:
+        """Against the others it always looks too full; against itself it is as quick as ever."""
+        host = FakeHost()
+        host.join()
+        host.slow = {host.servers[1]: 2.0}
+        host.run(20)
+        host.void = {host.servers[1]: 0.6}
+        self.assertIn((host.servers[1], True), host.named("hold_back", host.run(6)))
+
     def test_where_all_are_slow_and_void_none_is_sick(self) -> None:
         host = FakeHost()
         host.join()
@@ -285,6 +295,47 @@
         self.assertLess(max(len(host.lines(tbl)) for _, tbl, _ in host.named("bind")), 24)
         self.assertEqual(len({server for tbl in range(4) for server in host.lines(tbl)}), 48)
 
+    def test_a_release_leaves_a_zone_its_teams(self) -> None:
+        """Those that left counted as servers: a second team took half of the zone, for no proxy."""
+        host = FakeHost(servers=16, gateways=8, zones=("a",))
+        host.join()
+        host.run(3)
+        for k in range(10):
+            host.servers.append(Server(f"new{k}", "a", "m", 0))
+            host.roster(ListKind.CHANGES, host.servers[-1])
+            host.run(2)
+            host.roster(ListKind.CHANGES, host.servers.pop(0), state=Availability.GONE)
+        host.run(6)
+        self.assertEqual({tbl for tbl, _, _ in host.named("weigh")}, {0})
+        self.assertTrue(set(host.servers) <= set(host.lines(0)))
+
+    def shedding(self, seconds: int) -> FakeHost:
+        """A large manager whose levels change with each beat, for so long."""
+        host = FakeHost(servers=15, gateways=88, zones=("a",), pending=3000.0)
+        host.join()
+        host.run(8)
+        host.slow = dict.fromkeys(host.servers, 4.0)
+        self.shed(host, seconds)
+        return host
+
+    def shed(self, host: FakeHost, seconds: int) -> None:
+        for k in range(seconds):
+            host.per_second = 30 + 25 * (k % 2)
+            host.run(1)
+
+    def test_a_server_that_a_release_brings_gets_its_line_while_levels_change(self) -> None:
+        host = self.shedding(6)
+        host.servers.append(Server("new", "a", "m", 0))
+        host.roster(ListKind.CHANGES, host.servers[-1])
+        self.shed(host, 3)
+        self.assertIn(host.servers[-1], host.lines(0))
+
+    def test_moves_ride_along_with_levels_the_greatest_first(self) -> None:
+        host = self.shedding(6)
+        host.slow[host.servers[14]], before = 14.0, host.lines(0)[host.servers[14]]
+        self.shed(host, 8)
+        self.assertLess(host.lines(0)[host.servers[14]], 0.7 * before)
+
     def test_a_small_surplus_goes_to_few_far_servers_and_a_large_one_to_all(self) -> None:
         for each, least, most in ((13, 1, 3), (30, 8, 8)):
             host = FakeHost(servers=16, gateways=8)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,7 +1,16 @@
 """Stories of the platform's road without its bench: bytes in and out over transports in memory."""
 
 import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import tomllib
 import unittest
+from pathlib import Path
 from typing import Any
 
 from hypothesis import given, settings
@@ -44,6 +53,7 @@
 from tests.fakehost import ASK, PAY, SECOND, FakeHost
 
 DESCRIBED: dict[str, Any] = FakeHost().described
+ROOT = Path(__file__).parent.parent
 
 
 def entry(name: str, state: str = "ready", started_ms: float = 0, zone: str = "a") -> dict[str, Any]:
@@ -442,7 +452,7 @@
                 discovery.ended.append(False)
 
                 class Transport:
-                    def abortConnection(self) -> None:
+                    def loseConnection(self) -> None:
                         discovery.ended[place] = True
                 body.makeConnection(Transport())
 
@@ -561,5 +571,91 @@
         self.assertEqual(sum(notes.counts.values()), 2001)
 
 
+class ProcessStories(unittest.TestCase):
+    """The manager as `run` starts it, on loopback."""
+
+    def setUp(self) -> None:
+        held = tempfile.TemporaryDirectory(prefix="rl")
+        self.addCleanup(held.cleanup)
+        self.file = Path(held.name, "config.json")
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.port = free.getsockname()[1]
+
+    def config(self, **more: Any) -> dict[str, Any]:
+        lane = {"deadline": 3000000, "idempotency": "retryable", "name": "ask", "points": 3.0,
+                "target": 1200000}
+        return {
+            "name": "n3", "listen": f"127.0.0.1:{self.port}", "discovery": "127.0.0.1:1", "seed": "8c1f30",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "known": json.loads(listing(41, *(entry(f"s-{k}") for k in range(4)))),
+            "settings": {
+                "azs": ["a"], "group_size": 1, "me": 0, "membership_mode": "automatic", "lanes": [lane],
+                "family_info": {
+                    "bare": 8000000, "egress_per_s": 1300.0, "head": 3.0, "key_ranges": 0,
+                    "pending_max": 2000.0, "propagation": 446000, "proxies": 6,
+                    "push_delay_max": 1115000, "throttle_by": "ratio"},
+                "guarantees": {"cold": 15000000, "cold_from": 0.17, "drain_grace": 4200000,
+                               "overload_factor": 2.5, "overload_for": 2000000},
+                "limits": {"probes": False, "may_tell": False}, "reporting": {"how": "silent"}}, **more}
+
+    def start(self, config: Any) -> subprocess.Popen[str]:
+        self.file.write_text(config if isinstance(config, str) else json.dumps(config))
+        run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        run = run.replace(".venv/bin/python", sys.executable)
+        started = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+                                   env={**os.environ, "RELAY_CONFIG": str(self.file)})
+        self.addCleanup(started.communicate)
+        self.addCleanup(started.kill)
+        return started
+
+    def ask(self, *said: bytes) -> str:
+        """The first line that answers; dials until somebody listens."""
+        for _ in range(100):
+            try:
+                with socket.create_connection(("127.0.0.1", self.port), 10) as wire:
+                    wire.sendall(b"".join(said))
+                    return wire.makefile().readline()
+            except ConnectionError:
+                time.sleep(0.1)
+        self.fail("nobody listens")
+
+    def test_from_its_first_sign_of_life_to_its_end(self) -> None:
+        node = self.start(self.config())
+        self.assertEqual(self.ask(b"PING\r\n"), "PONG\n")
+        order = self.ask(b"SUBSCRIBE proxy=3 zone=a weight=9 fresh=1\r\n")
+        self.assertRegex(order, r"^CONFIG for=ask replace=1 rows=(s-\d:25,?){4} gate=1 again=1 stamp=\d+")
+        self.file.write_text("{")  # a faulty file keeps the old one
+        node.send_signal(signal.SIGHUP)
+        self.assertEqual(self.ask(b"PING\r\n"), "PONG\n")
+        self.file.write_text(json.dumps(self.config(discovery="127.0.0.1:2")))
+        node.send_signal(signal.SIGHUP)
+        self.assertEqual(self.ask(b"HELLO\r\n"), "NACK\n")
+        node.send_signal(signal.SIGTERM)
+        self.assertEqual(node.wait(10), 0)
+        assert node.stderr is not None
+        log = node.stderr.read()
+        self.assertIn("reload.refused", log)
+        self.assertIn('"discovery": "127.0.0.1:2"', log)
+        self.assertNotIn("Traceback", log)
+
+    def test_a_faulty_configuration_is_one_line_and_exit_2(self) -> None:
+        settings = self.config()["settings"]
+        for faulty, word in (("{", "not JSON"), ("[]", "object"), (self.config(settings={}), "lacks"),
+                             (self.config(listen="here"), "listen"), (self.config(seed="x"), "seed"),
+                             (self.config(peers="x"), "peers"),
+                             (self.config(settings={**settings, "azs": 5}), "cannot be read")):
+            node = self.start(faulty)
+            self.assertEqual(node.wait(20), 2, word)
+            assert node.stderr is not None
+            line, = node.stderr.read().splitlines()
+            self.assertIn(word, line)
+
+    def test_a_place_that_is_taken_ends_it(self) -> None:
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", self.port))
+            self.assertEqual(self.start(self.config()).wait(20), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
