--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -64,12 +64,20 @@
         self._bound, self._travels = grace - channel.longest_way, channel.usual_way * self.pace
         # No closer than the cap's even pace, less three for its join and a late beat or two.
         self.beat = max(SECOND, channel.cap_span // max(1, (channel.message_cap or 999) - 3))
+        self._answered = (0, 0)  # the newest batch answered by the last two beats
         self._short, self._capped = grace < self.beat + channel.longest_way, channel.message_cap > 0
         # Half the limit, as what can't be put off fits twice (rule 5), and no more than lets a withdrawal
         # behind it arrive within the grace (rule 3). What is on its way to the proxies waits no more.
         self._most = self._travels + min(0.5 * channel.pending_max, self.pace * max(
             0, self._bound - (0 if self._short or not self._capped else self.beat)))
 
+    def period(self) -> None:
+        """Messages leave one after the other, so those sent before one that was answered two beats ago have
+        left too: a proxy that fell silent for good would fill the channel's count until nothing could be
+        sent."""
+        self.lines.passed(self._answered[0])
+        self._answered = self._answered[1], self.lines.newest
+
     def at_once(self) -> bool:
         """Whether a change of the list is told as it comes. A message is mostly its head: where one to each
         proxy takes a quarter of the channel's second, as a release may change the list each second,
@@ -442,6 +450,15 @@
         self._withdraw()
         self._plan()
         self._send()
+        self._forget()
+
+    def _forget(self) -> None:
+        """Names that come and go for months would fill memory. One that left is kept for a minute, as it may
+        come back under its name while proxies still shut it out, and as long as a table names it."""
+        named = {server for tables in self._tables.values() for table in tables for server in table.lines}
+        for server in [s for s in self._fleet.servers if s.standing is s.told is Standing.LEFT
+                       and s.left_at < self._host.now() - 60 * SECOND and s not in named]:
+            del self._fleet.servers[server]
 
     def _withdraw(self) -> None:
         # A joiner heeds these withdrawals once it is bound, so binding goes before what can wait (rule 3).
@@ -555,7 +572,9 @@
                     self._host.weigh(table.number, server, round(table.lines[server], 3))
                     self._outbox.lines.add(table.gateways)
             table.lines = {server: weight for server, weight in table.lines.items() if weight}
-            self._debt, queued = self._debt + self._outbox.lines.waiting - queued, self._outbox.lines.waiting
+            # No more than a second's lines: urgent ones of a long release held up all others for ten more.
+            self._debt = min(self._debt + self._outbox.lines.waiting - queued, SECOND * self._outbox.pace)
+            queued = self._outbox.lines.waiting
 
     def _figure(self, table: Table, product: Product) -> float:
         level = self._levels.level(product)
@@ -628,6 +647,7 @@
         if event.token == self.ASK:
             self._host.watch(True)
         if event.token == self.BEAT:
+            self._outbox.period()
             self._fleet.judge(self._demand)
             self._levels.period()
             self._tables.refresh()
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -45,6 +45,7 @@
         self.slow: dict[Server, float] = {}
         self.void: dict[Server, float] = {}
         self.hung: set[Server] = set()
+        self.mute: set[Gateway] = set()  # they answer no mark
         self.busy: dict[Gateway, int] = {}
         self.products, self.joined = products, set[Gateway]()
         self.servers = [Server(f"s{k}", zones[k % len(zones)], "m", 0) for k in range(servers)]
@@ -118,7 +119,7 @@
     def checkpoint(self, number: int, everyone: bool) -> None:
         self.orders.append(("checkpoint", number))
         for gateway in self.gateways if self.applies else []:
-            if gateway in self.joined:
+            if gateway in self.joined and gateway not in self.mute:
                 self._later(2000, Applied(gateway, number, 2000))
 
     def _later(self, after: int, event: Event) -> None:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -367,6 +367,31 @@
             host.run(1)
         self.assertLess(len(host.named("weigh")), 200 / len(host.gateways))
 
+    def test_a_proxy_that_falls_silent_for_good_does_not_fill_the_channel(self) -> None:
+        host = FakeHost(pending=400.0)
+        host.join()
+        host.run(3)
+        host.mute.add(host.gateways[0])
+        host.slow = dict.fromkeys(host.servers, 4.0)
+        self.shed(host, 200)
+        new = Server("new", "a", "m", 0)
+        host.roster(ListKind.CHANGES, new)
+        host.run(5)
+        self.assertIn(new, host.lines(0))
+        self.assertLess(host.manager._outbox.lines.waiting, 100)
+
+    def test_names_that_come_and_go_are_forgotten(self) -> None:
+        host = FakeHost()
+        host.join()
+        host.run(3)
+        for k in range(200):
+            host.servers.append(Server(f"new{k}", "ab"[k % 2], "m", 0))
+            host.roster(ListKind.CHANGES, host.servers[-1])
+            host.roster(ListKind.CHANGES, host.servers.pop(0), state=Availability.GONE)
+            host.run(1)
+        self.assertLess(len(host.manager._fleet.servers), 6 + 70)
+        self.assertEqual(set(host.servers) - set(host.manager._fleet.servers), set())
+
     def test_a_table_that_lost_all_its_lines_is_filled_before_small_moves(self) -> None:
         host = FakeHost(servers=24, gateways=40, zones=("a",), pending=400.0)
         host.join()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """Stories of the platform's road without its bench: bytes in and out over transports in memory."""
 
+import gc
 import json
 import os
 import signal
@@ -82,7 +83,7 @@
 
     def setUp(self) -> None:
         self.clock, self.notes, self.probes = Clock(), list[tuple[str, str]](), list[Any]()
-        self.batch, self.events, self.words = list[Event](), list[Event](), list[Any]()
+        self.batch, self.words = list[Event](), list[Any]()
         self.workers = Workers()
         self.catalog = Catalog(self.workers, lambda ms: 1, lambda *note: self.notes.append(note))
         self.host = StreamHost(7, DESCRIBED, 1000 * SECOND, self.probes.append,
@@ -101,7 +102,6 @@
         """One turn of the reactor: what was read is one batch."""
         events = list(self.batch)
         self.batch.clear()
-        self.events += events
         self.host.take(1000 * SECOND + int(self.clock.seconds() * SECOND), events)
         return events
 
@@ -358,6 +358,30 @@
         self.assertTrue(all(len(line) < 1 << 20 for line in lines))
 
 
+class LongRun(Platform):
+    def test_nothing_grows_while_workers_and_streams_come_and_go(self) -> None:
+        self.join()
+        sizes = list[tuple[int, ...]]()
+        for k in range(3_000):
+            self.hear(listing(2 + 2 * k, entry(f"n{k}", zone="ab"[k % 2]), full=False))
+            if k >= 6:
+                self.hear(listing(3 + 2 * k, entry(f"n{k - 6}", "gone"), full=False))
+            talk, _ = self.join(1 + k % 7)
+            stranger, _ = self.dial(b"PING\r\n")
+            self.clock.advance(1.0)
+            self.turn()
+            for ended in (talk, stranger):
+                self.hang_up(ended)
+            self.probes.clear()
+            self.notes.clear()
+            if k % 500 == 499:
+                gc.collect()
+                sizes.append((len(self.workers), len(self.catalog.known), len(self.front.open),
+                              len(self.host.manager._fleet.servers), len(self.host.ports)))
+        for early, late in zip(sizes[1], sizes[-1], strict=True):
+            self.assertLessEqual(late, early + 10, sizes)
+
+
 class SameDecisions(Platform):
     def test_the_same_events_give_the_same_orders_as_on_the_simulator_s_road(self) -> None:
         """Both hosts carry out what one module orders: here beside the fake host, event for event."""
