A manager started anew under load takes its proxies' usual rates until reports are in

Excluded: lost reports, the list, late beats. Wrong lines: Levels._heat took the part of a round of reports that was heard for the whole; `_best` began at 0, so the floor of 0.65 of the best held nothing.

Also: a crowd of strangers came to 383 of 384 descriptors, as those accepted in one turn close in the next: 64 are kept free now; and where streams alone fill all places a proxy that dials is not refused as the only stranger. Stories for both.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -307,6 +307,7 @@
     def __init__(self, host: Host, outbox: Outbox, fleet: Fleet, demand: Demand) -> None:
         self._host, self._outbox, self._fleet, self._demand, self._usual = host, outbox, fleet, demand, 0.0
         self._load, self._shares, self._budget = Load.CALM, dict[Product, float](), 0.0  # 0: all is let in
+        self._since = 0  # when the first of its proxies joined
         self._plain = self._latency = self.quiet = self._bar = self._held = self._best = 0.0
 
     def period(self) -> None:
@@ -317,16 +318,22 @@
     def _heat(self) -> Heat:
         """Overload as the design words it, but by the median server: a few sick ones are no lost capacity."""
         # All of a cycle for the sum; but the median of those heard last is as good, and fresher.
-        whole, seen = ([sums for server in self._fleet.in_service()
-                        if (sums := server.seen(self._host.now(), buckets))[0] >= 3]
+        now, serving = self._host.now(), self._fleet.in_service()
+        whole, seen = ([sums for server in serving if (sums := server.seen(now, buckets))[0] >= 3]
                        for buckets in (1 + self._demand.cycle(), 2))
         self._settled = sum(sums[4] for sums in whole)
         # The design's scaling by own proxies: one that comes or goes takes its part of the budget along.
         before, self._usual = self._usual, sum(gateway.usual_rate for gateway in self._outbox.gateways)
+        self._since = self._since if before else now
         part = self._usual / before if before else 1.0
         self._budget, self._best = part * self._budget, part * self._best
         # The best of late, fading: own declines and client retries lower successes, not what servers can do.
         self._best = max(self._settled, 0.975 * self._best)
+        if now < self._since + (2 + self._demand.cycle()) * SECOND:
+            # A round of reports is not in yet, and what is spans time before its proxies joined. Taking that
+            # for what servers do, a manager that started anew under load declined nine tenths; until then,
+            # the usual.
+            self._best = max(self._best, self._usual)
         voids = median_high([sums[1] / sums[0] for sums in seen] or [0.0])
         before = self._plain
         self._plain = median_high([sums[3] / sums[2] for sums in seen if sums[2]] or [0.0])
--- a/rushladder/service/node.py
+++ b/rushladder/service/node.py
@@ -42,7 +42,9 @@
 CONFIG, NAME, LISTEN, DISCOVERY = "RELAY_CONFIG", "RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY"
 EPOCH = 100_000 * TENTHS  # the module's clock at the start: a day, so that starts before it have a place
 PROBES = 16  # at once: with some 30 workers each beat is over in two helpings
-RESERVE = 32  # descriptors beside streams and probes: log, poll, listeners, watches old and new, a margin
+# Descriptors beside streams and probes: log, poll, listeners, watches old and new, and the connections of a
+# crowd that are accepted in one turn and close in the next.
+RESERVE = 64
 PERIOD = 10.0  # s between two lines of figures in the log
 HEALTH, REPORT = "/ping", "/_load"
 
--- a/rushladder/streams/front.py
+++ b/rushladder/streams/front.py
@@ -19,6 +19,7 @@
 JOIN_WITHIN = 1.0  # s until a connection has to have joined: the protocol lets it be closed then
 UNJOINED_MOST = 1024  # bytes of a line before a joining: four times the longest one
 JOINED_MOST = 64 * 1024  # bytes of a line after it: sixty times the longest report
+NEWEST = 8  # strangers that keep their place however full it is: proxies about to join are among them
 COLLECTORS = 4  # connections that name one zone: the collector, and its newer ones before the old ones end
 State = Enum("State", "UNJOINED COLLECTOR STREAM CLOSING")
 
@@ -193,7 +194,7 @@
     def opened(self, talk: Talk) -> None:
         self.open[talk] = self.strangers[talk] = None
         # Rule 3 runs on for a proxy that we don't take, so strangers make room for whoever comes.
-        if len(self.open) > self.places and self.strangers:
+        if len(self.open) > self.places and len(self.strangers) > NEWEST:
             next(iter(self.strangers)).refuse("no room", "the oldest that has not joined")
 
     def closed(self, talk: Talk) -> None:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -233,6 +233,18 @@
         self.assertLess(min(level for _, _, level, _ in host.named("gate")), 1)
         self.assertGreater(min(level for _, _, level, _ in host.named("gate")), 0.25)
 
+    def test_a_fresh_manager_takes_no_part_of_the_reports_for_the_whole(self) -> None:
+        """Started anew under load, with reports that come round in seven seconds."""
+        host = FakeHost(servers=14, gateways=14)
+        host.covers, host.per_second = 7, 5
+        host.join()
+        host.run(3)
+        host.slow = dict.fromkeys(host.servers, 4.0)
+        host.run(5)
+        levels = [level for _, _, level, _ in host.named("gate")]
+        self.assertLess(min(levels), 1)
+        self.assertGreater(min(levels), 0.6)
+
     def test_a_few_sick_servers_are_no_overload(self) -> None:
         host = FakeHost()
         host.join()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -220,6 +220,12 @@
         self.assertEqual(closed, sorted(closed, reverse=True))
         self.assertGreaterEqual(sum(closed), 40)
 
+    def test_a_proxy_joins_though_streams_fill_all_places(self) -> None:
+        self.front.places = 4
+        joined = [self.join(number)[1] for number in range(8)]
+        self.assertEqual([wire.disconnecting for wire in joined], [False] * 8)
+        self.assertEqual(len(self.host.ports), 8)
+
     def test_a_refused_one_is_read_no_more(self) -> None:
         talk, wire = self.dial(b"HELLO\r\n")
         talk.dataReceived(b"SUBSCRIBE proxy=1 zone=a weight=1 fresh=1\r\n")
