--- a/rushladder/cli/main.py
+++ b/rushladder/cli/main.py
@@ -51,6 +51,14 @@
     sys.exit(serve(plan))
 
 
+@main.command()
+def node() -> None:
+    """Runs a manager on the operators' platform, as the environment says (RELAY_CONFIG), until SIGTERM."""
+    from rushladder.service.node import main as serve
+
+    sys.exit(serve())
+
+
 @main.command()
 @click.argument("files", nargs=-1, required=True)
 def check(files: tuple[str, ...]) -> None:
--- a/rushladder/service/probing.py
+++ b/rushladder/service/probing.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from twisted.internet import endpoints, error
+from twisted.internet import endpoints, error, protocol
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import ConnectError
 from twisted.python.failure import Failure
@@ -29,6 +29,35 @@
 )
 
 
+class _Report(protocol.Protocol):
+    """The body of an answer, cut at what a report takes. Given up, it ends the connection: a worker that
+    stops in the middle of a body must not keep a descriptor of ours."""
+
+    def __init__(self, response: Any) -> None:
+        self._body = b""
+        self.whole: Deferred[bytes] = Deferred(lambda _: self._end())
+        response.deliverBody(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        self._body += data
+        if len(self._body) > REPORT_MOST:
+            self._end()
+
+    def connectionLost(self, reason: Any = None) -> None:
+        if not self.whole.called:
+            self.whole.callback(self._body[:REPORT_MOST])
+
+    def _end(self) -> None:
+        transport: Any = self.transport
+        if transport is not None:
+            transport.loseConnection()
+
+
+def _timed_out(result: Any, timeout: float) -> Any:
+    """A request that is cancelled says that its connection broke; what it was is a time-out."""
+    return Failure(error.TimeoutError())
+
+
 @implementer(IAgentEndpointFactory)
 class Numeric:
     """Endpoints for addresses that are numbers already: no resolver, and none of its threads."""
@@ -54,16 +83,16 @@
 
     def probe(self, address: str) -> Deferred[ProbeResult]:
         asked: Deferred[Any] = self._agent.request(b"GET", f"http://{address}{self._path}".encode())
-        asked.addTimeout(ANSWER_MOST, self._reactor)
+        asked.addTimeout(ANSWER_MOST, self._reactor, _timed_out)
         asked.addCallbacks(self._answered, self._failed)
         return asked
 
     def probe_load(self, address: str) -> Deferred[tuple[ProbeResult, bytes]]:
         """The same, with the answer's body: a load report."""
         asked: Deferred[Any] = self._agent.request(b"GET", f"http://{address}{self._path}".encode())
-        asked.addCallback(lambda response: readBody(response).addCallback(
-            lambda body: (self._result(response), body[:REPORT_MOST])))
-        asked.addTimeout(ANSWER_MOST, self._reactor)
+        asked.addCallback(lambda response: _Report(response).whole.addCallback(
+            lambda body: (self._result(response), body)))
+        asked.addTimeout(ANSWER_MOST, self._reactor, _timed_out)
         asked.addErrback(lambda failure: (self._failed(failure), b""))
         return asked
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,7 +18,7 @@
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
-from twisted.internet.testing import StringTransport
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from rushladder.catalog.reader import Catalog, Faulty
 from rushladder.catalog.watch import SILENT, Watch
@@ -32,10 +32,12 @@
     Left,
     Listing,
     ListKind,
+    ProbeResult,
     Retry,
     Tries,
 )
 from rushladder.peers.bare import BareLink
+from rushladder.service.probing import HttpProber, numeric_agent
 from rushladder.service.notes import KINDS, SAME_AGAIN, Notes
 from rushladder.streams.codec import (
     Ack,
@@ -582,6 +584,38 @@
         self.assertEqual((self.heard, len(self.notes)), ([(2, b"x")], 3))
 
 
+class ProbeStories(unittest.TestCase):
+    def probe(self, *answer: bytes, after: float = 0.0) -> tuple[str, Any, StringTransport]:
+        """What was asked, how it ended, and the connection."""
+        reactor, found = MemoryReactorClock(), list[Any]()
+        prober = HttpProber(reactor, "/_load", numeric_agent(reactor, 0.3))
+        prober.probe_load("127.0.0.1:9000").addBoth(found.append)
+        (host, port, factory, _, _), = reactor.tcpClients
+        self.assertEqual((host, port), ("127.0.0.1", 9000))
+        wire = StringTransport()
+        client: Any = factory.buildProtocol(None)
+        client.makeConnection(wire)
+        for data in answer:
+            client.dataReceived(data)
+        reactor.advance(after)
+        return wire.value().decode().splitlines()[0], found, wire
+
+    def test_an_answer_with_its_report(self) -> None:
+        asked, found, wire = self.probe(b"HTTP/1.1 200 OK\r\nContent-Length: 21\r\n\r\n",
+                                        b"inflight=7,", b"queue=2.50")
+        self.assertEqual(asked, "GET /_load HTTP/1.1")
+        self.assertEqual(found, [(ProbeResult.OK, b"inflight=7,queue=2.50")])
+        self.assertTrue(wire.disconnecting)  # one connection a probe, none kept
+
+    def test_refusals_and_silence_have_their_names(self) -> None:
+        away = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+        self.assertEqual(self.probe(away)[1], [(ProbeResult.TURNED_AWAY, b"")])
+        self.assertEqual(self.probe(after=1.1)[1], [(ProbeResult.TIMED_OUT, b"")])
+        half = b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nutil=0.6"
+        _, found, wire = self.probe(half, after=1.1)
+        self.assertEqual((found, wire.disconnecting), ([(ProbeResult.TIMED_OUT, b"")], True))
+
+
 class NoteStories(unittest.TestCase):
     def test_a_flood_of_faults_is_few_lines_and_right_counts(self) -> None:
         clock, lines = Clock(), list[tuple[str, int]]()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -18,6 +18,7 @@
 import dns.rcode
 from haprapi import HAPRapi  # type: ignore[import-untyped]
 
+from rushladder import __version__
 from rushladder.intake.orca_pb2 import Envelope, OrcaLoadReport
 
 ROOT = Path(__file__).parent.parent
@@ -177,7 +178,7 @@
     def test_the_command_line_reads_commands_and_tells_refusals(self) -> None:
         self.start("user")
         done = self.ctl(lines="set server fleet/c1 weight 2.5\nshow version; show backend\n")
-        self.assertEqual((done.returncode, done.stdout), (0, "0.2.0\n# name\nfleet\ncollect\n"))
+        self.assertEqual((done.returncode, done.stdout), (0, f"{__version__}\n# name\nfleet\ncollect\n"))
         rows = json.loads(self.ctl("--json", "show stat").stdout)
         self.assertEqual([row["weight"] for row in rows if row["svname"] == "c1"], ["2.5"])
         with socket.create_connection(("127.0.0.1", self.port), 10) as wire:
