A paused stream that turns unreadable is ended at once and keeps no descriptor

Observed by a probe on a real loopback socket: a joined stream that reads no more and then sends what can't be read was still open 5 s after it was refused. Excluded: the state (CLOSING at once) and the module (told that it left). Wrong line: front.Talk.refuse closed with loseConnection, which waits for what is still to be written; with a producer registered and paused, Twisted then resumes the producer and never gets to close. A joined connection is aborted now.

Measured: the same probe closes after 0.01 s; its story fails on the former line.

--- a/rushladder/streams/front.py
+++ b/rushladder/streams/front.py
@@ -70,10 +70,14 @@
         self.state = State.CLOSING
         transport: Any = self.transport
         self.front.note(f"refused.{kind}", why)
-        if not self.zone:  # nobody writes to a collector, and a proxy is only written orders
-            transport.write(NACK)
         self.front.left(self)
-        transport.loseConnection()
+        if self.zone:
+            # Nobody writes to a collector, and a proxy is only written orders. Not after what is still to be
+            # written: one that reads no more would keep its connection, and a descriptor, for good.
+            transport.abortConnection()
+        else:
+            transport.write(NACK)
+            transport.loseConnection()
 
     def drop(self) -> None:
         """A newer stream of the same proxy is in its place."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -295,6 +295,15 @@
         self.assertEqual([type(event) for event in self.turn()], [Arrivals, Left])
         self.assertTrue(wire.disconnecting)
 
+    def test_a_paused_stream_that_turns_unreadable_waits_for_nothing(self) -> None:
+        """Closed after what it is still to be sent, it would stay for good: it reads no more."""
+        talk, wire = self.join()
+        self.turn()
+        talk.pauseProducing()
+        talk.dataReceived(b"\x00\x01")
+        self.assertTrue(wire.disconnected)
+        self.assertEqual([type(event) for event in self.turn()], [Left])
+
     def test_what_a_paused_stream_is_owed_falls_together(self) -> None:
         talk, wire = self.join()
         self.turn()
