--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import struct
+from collections import Counter
 from collections.abc import Callable, Collection, Sequence
 from enum import Enum
 from random import Random
@@ -52,7 +53,9 @@
 class Gateway(Proxy):
     def begin(self, now: int, products: Sequence[Product]) -> None:
         self.joined_at, self.team, self.tables = now, 0, list[Table]()
+        self.counted = self.usual_rate  # in its team's sum: the proxy may name another one as it comes again
         self.came = {product: Ring(SECOND, 12, 2) for product in products}  # many, time covered
+        self.rates, self.rated_at = dict[Product, float](), -1  # worked out once for each time asked for
 
 
 class Outbox:
@@ -60,6 +63,10 @@
 
     def __init__(self, channel: Channel, grace: int) -> None:
         self.gateways, self.pace = dict[Gateway, None](), channel.lines_per_s / SECOND
+        # The same by zone, those not yet bound, and the usual rates of each team: a fleet that joins at once
+        # cost a walk over all of it for each joiner.
+        self._zones, self.unbound = dict[str, dict[Gateway, None]](), dict[Gateway, None]()
+        self._teams = dict[tuple[str, int], float]()
         self.lines = Lines[Gateway](channel.head + 1)  # and its mark
         self._bound, self._travels = grace - channel.longest_way, channel.usual_way * self.pace
         # No closer than the cap's even pace, less three for its join and a late beat or two.
@@ -85,8 +92,16 @@
         heads = self.lines.price(self.gateways, 0)
         return self._short or not (self._capped or heads > 0.25 * SECOND * self.pace)
 
-    def joined(self, zone: str) -> list[Gateway]:
-        return [gateway for gateway in self.gateways if gateway.zone == zone]
+    def joined(self, zone: str) -> Collection[Gateway]:
+        return self._zones.get(zone, ())
+
+    def team(self, zone: str, team: int) -> float:
+        return self._teams.get((zone, team), 0.0)
+
+    def join(self, gateway: Gateway) -> None:
+        self.gateways[gateway] = self.unbound[gateway] = None
+        self._zones.setdefault(gateway.zone, {})[gateway] = None
+        self._teams[gateway.zone, gateway.team] = self.team(gateway.zone, gateway.team) + gateway.counted
 
     def has_room(self, gateways: Collection[Gateway], count: float = 1, part: float = 1.0) -> bool:
         """Whether `count` lines to each may be sent. Lines drain when a proxy says it applied them."""
@@ -101,7 +116,10 @@
 
     def left(self, gateway: Gateway) -> None:
         self.lines.left(gateway)
-        for holders in (self.gateways, *(table.gateways for table in gateway.tables)):
+        self.unbound.pop(gateway, None)
+        self._teams[gateway.zone, gateway.team] -= gateway.counted
+        for holders in (self.gateways, self._zones[gateway.zone],
+                        *(table.gateways for table in gateway.tables)):
             del holders[gateway]
 
 
@@ -255,6 +273,7 @@
     def arrivals(self, event: Arrivals[Gateway]) -> None:
         if event.proxy in self._outbox.gateways:
             event.proxy.came[event.product].add(self._host.now(), event.many, event.covers)
+            event.proxy.rated_at = -1
             self._covers += 0.02 * (event.covers - self._covers)
 
     def cycle(self) -> int:
@@ -262,12 +281,16 @@
         return max(1, min(8, round(self._covers / SECOND)))
 
     def rate(self, gateway: Gateway, product: Product) -> float:
-        if self._host.now() < gateway.joined_at + (3 + self.cycle()) * SECOND:
+        now = self._host.now()
+        if now < gateway.joined_at + (3 + self.cycle()) * SECOND:
             # Not a whole window heard yet. Taken for idle, the proxies of a lost manager would decline all.
             return gateway.usual_rate * self.mix[product]
-        # By the time that the lines cover, not by the clock: they come late, merged, and out of step with it.
-        many, covers = gateway.came[product].total(self._host.now(), 2 + self.cycle())
-        return SECOND * many / max(1.0, covers)
+        if gateway.rated_at != now:
+            # By the time that the lines cover, not by the clock: they come late, merged, and out of step.
+            sums = {p: ring.total(now, 2 + self.cycle()) for p, ring in gateway.came.items()}
+            gateway.rates = {p: SECOND * many / max(1.0, covers) for p, (many, covers) in sums.items()}
+            gateway.rated_at = now
+        return gateway.rates[product]
 
     def left(self, gateway: Gateway) -> None:
         self._departed.append((self._host.now(), [self.rate(gateway, p) for p in self._products]))
@@ -400,10 +423,13 @@
     """What stands in the shared tables, and when changes go out."""
 
     def __init__(self, host: Host, outbox: Outbox, fleet: Fleet, demand: Demand, levels: Levels,
-                 products: Sequence[Product], zones: Sequence[str], unit: LevelUnit) -> None:
+                 products: Sequence[Product], zones: Sequence[str], unit: LevelUnit, usual: Retry) -> None:
         self._host, self._outbox, self._fleet, self._demand = host, outbox, fleet, demand
         self._levels, self._unit, self._zones = levels, unit, zones
         self._tables, self._debt, self._paid = dict[tuple[str, int], list[Table]](), 0.0, 0
+        self._planned = 0
+        # What a table that sets none has anyway is not set: three of a joiner's seventeen lines (rule 3).
+        self._unset = 0.0 if usual is not Retry.UNSENT else 1e6 if unit is LevelUnit.RATE else 1.0
         self._split = dict[str, int]()
         eligible = [(product.models, product.zones, product.home_only) for product in products]
         self._groups = [[product for product, other in zip(products, eligible, strict=True) if other == kind]
@@ -419,22 +445,28 @@
         return self._split[zone]
 
     def assign(self, gateway: Gateway) -> None:
-        gateway.team = min(range(self._teams(gateway.zone)), key=lambda team: sum(
-            other.usual_rate for other in self._outbox.joined(gateway.zone) if other.team == team))
+        gateway.team = min(range(self._teams(gateway.zone)),
+                           key=lambda team: self._outbox.team(gateway.zone, team))
 
     def join(self) -> None:
         """Binds who has joined, as the channel drains: a fleet that joins at once would fill it (rule 5). Who
         joins together is planned for together: a table made for the first of them fits none."""
-        ready = self._host.now() - SECOND // 32
-        for gateway in [g for g in self._outbox.gateways if not g.tables and g.joined_at <= ready]:
+        ready, many = self._host.now() - SECOND // 32, Counter((g.zone, g.team) for g in self._outbox.unbound)
+        for gateway in [g for g in self._outbox.unbound if g.joined_at <= ready]:
+            if not self._outbox.has_room([gateway]):
+                break  # nor for any other: planning for them would cost time and bind nobody
             key = gateway.zone, gateway.team
-            if key not in self._tables or (not self._tables[key][0].gateways and self._paid < ready):
-                self.refresh()  # not planned of late: it could bind a joiner to no line (rule 1)
-            joiners = sum(not g.tables and (g.zone, g.team) == key for g in self._outbox.gateways)
-            for table in self._tables[key]:
-                self._leave_out(table, joiners)
+            if key not in self._tables or (not self._tables[key][0].gateways and self._planned < ready):
+                # Not planned of late: it could bind a joiner to no line (rule 1). Only tables that nobody
+                # holds change now: joiners that kept coming after a restart had all the others written at
+                # each of their turns, 13 messages to a proxy within the time of 12 (rule 5).
+                self.refresh(False)
+            for table in self._tables[key] if many[key] else ():
+                self._leave_out(table, many[key])
+            many[key] = 0
             cost = sum(1 + len(table.lines) + len(table.gates) for table in self._tables[key])
             if self._outbox.has_room([gateway], cost):
+                del self._outbox.unbound[gateway]
                 gateway.tables = self._tables[key]
                 self._outbox.lines.add([gateway], cost)
                 for table in gateway.tables:
@@ -442,21 +474,28 @@
                     self._host.bind(gateway, table.number, table.products)
 
     def _leave_out(self, table: Table, joiners: int) -> None:
-        """A line of a server that left, and its withdrawal, cost two lines at each joiner, and one to take
-        out at each who is bound: bindings leave them out where that is less, for shorter joins (rule 3)."""
+        """A line of a server that left, and its withdrawal, cost two lines at each joiner; one, and the head
+        of a message, to take out at each who is bound: bindings leave them out where that is less, for short
+        joins. With the heads forgotten a mass return was bound 5 s late (rule 3)."""
         left = [server for server in table.lines if server.standing is Standing.LEFT]
-        for server in left if len(table.gateways) <= 2 * joiners and len(left) < len(table.lines) else ():
+        less = self._outbox.lines.price(table.gateways, len(left)) <= 2 * len(left) * joiners
+        for server in left if less and len(left) < len(table.lines) else ():
             del table.lines[server]
             self._host.weigh(table.number, server, 0.0)
             self._outbox.lines.add(table.gateways)
 
-    def refresh(self) -> None:
-        for key in [(zone, team) for zone in self._zones for team in range(self._teams(zone))]:
+    def refresh(self, held: bool = True) -> None:
+        """Plans, and sends what differs; held: also of tables that proxies hold, which takes messages."""
+        # Those dealt out while a zone had more teams keep theirs: they came before it was planned for.
+        for key in [*((zone, team) for zone in self._zones for team in range(self._teams(zone))),
+                    *((gateway.zone, gateway.team) for gateway in self._outbox.unbound)]:
             self._tables.setdefault(key, [Table(len(self._tables) * len(self._groups) + k, *key, group)
                                           for k, group in enumerate(self._groups)])
-        self._withdraw()
+        self._planned = self._host.now()
+        if held:
+            self._withdraw()
         self._plan()
-        self._send()
+        self._send(held)
         self._forget()
 
     def _forget(self) -> None:
@@ -469,10 +508,10 @@
 
     def _withdraw(self) -> None:
         # A joiner heeds these withdrawals once it is bound, so binding goes before what can wait (rule 3).
-        joining = any(not gateway.tables for gateway in self._outbox.gateways)
+        joining = bool(self._outbox.unbound)
         for server in [server for server in self._fleet.servers if server.standing is not server.told]:
-            holders = [gateway for gateway in self._outbox.gateways
-                       if any(server in table.lines for table in gateway.tables)]
+            holders = dict.fromkeys(gateway for tables in self._tables.values() for table in tables
+                                    if server in table.lines for gateway in table.gateways)
             # A sick one waits for room too, a release also for that of its weight's lines (rule 4).
             urgent = server.standing is Standing.LEFT and server.told is Standing.SERVING
             # Joiners heed it no sooner than they are bound, so they go first as long as it can wait (rule 3).
@@ -499,8 +538,11 @@
         may = {table: [s for s in capacity if table.products[0].open_to(s, table.zone)]
                for tables in self._tables.values() for table in tables}
         tables = sorted(may, key=lambda table: len(may[table]))  # those with the fewest servers choose first
+        crews = {key: list[Gateway]() for key in self._tables}
+        for gateway in self._outbox.gateways:
+            crews[gateway.zone, gateway.team].append(gateway)
         for table in tables:
-            members = [g for g in self._outbox.joined(table.zone) if g.team == table.team]
+            members = crews[table.zone, table.team]
             told = sum(away[table.zone, product] for product in table.products) / teams[table.zone]
             table.wanted, table.want = {}, max(1e-3, told + sum(
                 self._demand.rate(member, product) for member in members for product in table.products))
@@ -535,13 +577,14 @@
             table.wanted[server] = table.wanted.get(server, 0.0) + part
             room[server] -= part
 
-    def _send(self) -> None:
+    def _send(self, held: bool) -> None:
         """Levels first; then weights table by table, those of cold servers (rule 4) and the greatest moves
         first, for half of the channel's pace: what small moves gain, they cost in orders and lag."""
         turns, ramp = list[tuple[float, float, Table, list[Server]]](), self._fleet.ramp
-        for table in [table for tables in self._tables.values() for table in tables]:
+        for table in [table for tables in self._tables.values() for table in tables
+                      if held or not table.gateways]:
             for product in table.products:
-                figure, before = self._figure(table, product), table.gates.get(product, 0.0)
+                figure, before = self._figure(table, product), table.gates.get(product, self._unset)
                 # The last step to full always goes out: held back as small, it would decline for good. A
                 # fifth of the room is kept: levels of each beat left a table without a line (rule 1).
                 differs = abs(figure - before) > 0.1 * before or before < 1 <= figure
@@ -602,7 +645,7 @@
 
     def __init__(self, host: Host, seed: int, *, managers: int, zones: Sequence[str], may_probe: bool,
                  products: Sequence[Product], channel: Channel, guarantee: Guarantee, level_unit: LevelUnit,
-                 asks_list: bool, may_tell: bool, slices: int) -> None:
+                 asks_list: bool, may_tell: bool, slices: int, usual: Retry = Retry.NEVER) -> None:
         self._host, self._draw, self._products = host, Random(seed).random, products
         self._may_tell, self._ask_within, self._failures = may_tell and managers > 1, guarantee.ask_within, 0
         self._outbox = Outbox(channel, guarantee.drain_grace)
@@ -610,7 +653,7 @@
         self._demand = Demand(host, self._outbox, products, zones)
         self._levels = Levels(host, self._outbox, self._fleet, self._demand)
         self._tables = Tables(host, self._outbox, self._fleet, self._demand, self._levels, products, zones,
-                              level_unit)
+                              level_unit, usual)
         self._handlers: dict[type, Callable[..., None]] = {} if slices else {
             Listing: self._listing, Reminder: self._reminder, Probed: self._fleet.probed,
             PeerWord: self._demand.heard, Joined: self._joined, Left: self._left, Tries: self._fleet.tries,
@@ -667,7 +710,7 @@
         self._left(Left(gateway))  # it may come again before its break was noticed
         gateway.begin(self._host.now(), self._products)
         self._tables.assign(gateway)
-        self._outbox.gateways[gateway] = None
+        self._outbox.join(gateway)
         self._fleet.reached(gateway.zone)  # a zone withdrawn as cut off serves its own proxies at once
         self._host.wake(SECOND // 32, self.BIND)  # by then those that join together have joined
 
--- a/rushladder/conf/birth.py
+++ b/rushladder/conf/birth.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from rushladder.interface import Channel, Guarantee, LevelUnit, Product, Repeat
+from rushladder.interface import Channel, Guarantee, LevelUnit, Product, Repeat, Retry
 
 PER_TENTH = 100  # microseconds for each tenth of a millisecond inside
 REPEATS = {"retryable": Repeat.INQUIRY_LIKE, "dedup": Repeat.REFERENCED, "fragile": Repeat.ONCE_ONLY}
@@ -55,7 +55,7 @@
         "asks_list": boot["membership_mode"] == "subscribe",
         "may_probe": bool(limits["probes"]),
         "may_tell": bool(limits["may_tell"]),
-        "slices": int(fam["key_ranges"]),
+        "slices": int(fam["key_ranges"]), "usual": Retry(int(fam.get("base_mode", 0))),
     }
 
 
--- a/rushladder/ring.py
+++ b/rushladder/ring.py
@@ -29,9 +29,7 @@
     def total(self, now: int, buckets: int) -> list[float]:
         """Sums over the newest `buckets`, the one of `now` included."""
         newest = now // self._width
-        sums = list(self._zero)
-        for stamp, cell in zip(self._stamps, self._cells, strict=True):
-            if newest - buckets < stamp <= newest:
-                for k, value in enumerate(cell):
-                    sums[k] += value
-        return sums
+        oldest = newest - buckets
+        found = [cell for stamp, cell in zip(self._stamps, self._cells, strict=True)
+                 if oldest < stamp <= newest]
+        return [sum(column) for column in zip(self._zero, *found, strict=True)]
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -185,6 +185,14 @@
         host.run(10)
         self.assertTrue(all(level == 1 for _, _, level, _ in host.named("gate")))
 
+    def test_what_a_table_has_unset_is_not_set(self) -> None:
+        host = FakeHost(usual=Retry.UNSENT)
+        host.join()
+        self.assertFalse(host.named("gate", host.run(10)))  # a line a product for each joiner
+        host = self.overloaded(usual=Retry.UNSENT)
+        host.run(10)
+        self.assertLess(min(level for _, _, level, _ in host.named("gate")), 0.9)
+
     def test_own_declines_do_not_spiral_the_levels_down_and_they_rise_again(self) -> None:
         host = self.overloaded()
         host.run(30)
@@ -440,6 +448,40 @@
                 host.named("hold_back", some) and not host.named("bind", some))) for some in orders))
         self.assertLessEqual(max(sum(sent[k:k + 10]) for k in range(20)), 12)
 
+    def test_joiners_of_teams_that_nobody_holds_cost_the_others_no_message(self) -> None:
+        host = FakeHost(servers=96, gateways=24, cap=12, pending=20_000.0)
+        host.join(host.gateways[0])
+        host.run(5)
+        held = set(host.named("bind")[0][1:2])
+        written = 0
+        for k, gateway in enumerate(host.gateways[1:8]):  # each the first of its team
+            host.slow = {server: 1.0 + (place + k) % 4 for place, server in enumerate(host.servers)}
+            host.roster(ListKind.CHANGES, host.servers[k + 20], state=Availability.DRAINING)
+            orders = host.join(gateway)
+            host.clock += 1000  # past the wait for those that join together
+            orders += host.give()
+            written += any(order[0] == "hold_back" or (order[0] in ("weigh", "gate") and order[1] in held)
+                           for order in orders)
+        self.assertEqual(written, 0)
+        self.assertEqual(len(host.named("bind")), 8)
+
+    def test_a_line_of_a_server_that_left_is_taken_out_only_where_that_costs_less(self) -> None:
+        for joiners, out in ((6, False), (36, True)):  # at each of 12 holders a line and its head: 60 lines
+            host = FakeHost(servers=6, gateways=48, zones=("a",), cap=12)
+            host.join(*host.gateways[:12])
+            host.run(20)
+            host.join(*host.gateways[12:12 + joiners])
+            host.roster(ListKind.CHANGES, host.servers[0], state=Availability.DRAINING)
+            host.clock += 1000  # past the wait for those that join together
+            self.assertIs(any(order[2:] == (host.servers[0], 0.0) for order in host.give()), out)
+
+    def test_a_joiner_dealt_to_a_team_that_is_no_more_is_bound_all_the_same(self) -> None:
+        host = FakeHost(servers=120, gateways=12, cap=12)
+        host.join()
+        host.roster(ListKind.CHANGES, *host.servers[30:], state=Availability.GONE)
+        host.run(2)
+        self.assertEqual(len(host.named("bind")), 12)
+
     def test_a_joiner_gets_its_tables_and_levels_at_once(self) -> None:
         host = FakeHost()
         orders = host.join(host.gateways[0])
