--- a/rushladder/service/node.py
+++ b/rushladder/service/node.py
@@ -31,9 +31,10 @@
 from rushladder.core.workers import Workers
 from rushladder.interface import Event, PeerWord, Probed, ProbeResult
 from rushladder.peers.bare import BareLink, Place
+from rushladder.service.exchange import Prober
 from rushladder.service.logs import make_log
 from rushladder.service.notes import Notes
-from rushladder.service.probing import CONNECT_MOST, HttpProber, numeric_agent
+from rushladder.service.probing import CONNECT_MOST, numeric_agent
 from rushladder.streams.codec import load_report
 from rushladder.streams.front import Front
 from rushladder.streams.host import StreamHost
@@ -41,7 +42,9 @@
 
 CONFIG, NAME, LISTEN, DISCOVERY = "RELAY_CONFIG", "RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY"
 EPOCH = 100_000 * TENTHS  # the module's clock at the start: a day, so that starts before it have a place
-PROBES = 16  # at once: with some 30 workers each beat is over in two helpings
+# Probes at once: 200 workers, half of them cut off, are through within half a beat by the 0.3 s that dialling
+# may take; fewer where the proxies leave no descriptors for them, yet 30 workers in two helpings.
+PROBES_LEAST, PROBES_MOST = 16, 64
 # Descriptors beside streams and probes: log, poll, listeners, watches old and new, and the connections of a
 # crowd that are accepted in one turn and close in the next.
 RESERVE = 64
@@ -78,6 +81,12 @@
     described: Mapping[str, Any]  # the module's keyword arguments
     report: str  # where load reports come from: "piggyback", "pull" or "silent"
     reported: frozenset[str]  # the values in them
+    connect: float  # s that dialling a worker may take
+
+    @property
+    def probes(self) -> int:
+        """Probes at once, with what the streams of all proxies leave."""
+        return max(PROBES_LEAST, min(PROBES_MOST, self.sockets - RESERVE - self.proxies))
 
 
 def read_site(environment: Mapping[str, str]) -> Site:
@@ -104,6 +113,7 @@
         described = birth(settings)
         me, proxies = int(settings["me"]), int(settings["family_info"]["proxies"])
         reporting = settings.get("reporting", {})
+        connect = float(settings["limits"].get("connect_timeout", CONNECT_MOST * 1e6)) / 1e6
         report, fields = str(reporting.get("how", "silent")), frozenset(map(str, reporting.get("fields", ())))
     except Unfit as trouble:
         raise Wrong(f"settings {trouble}") from None
@@ -127,7 +137,7 @@
         peer_listen=_place(raw["peer_listen"], "peer_listen") if raw.get("peer_listen") else None,
         peers=tuple(_place(peer, "peers") for peer in peers),
         peers_all=_place(raw["peers_all"], "peers_all") if raw.get("peers_all") else None,
-        known=raw.get("known"), described=described, report=report, reported=fields)
+        known=raw.get("known"), described=described, report=report, reported=fields, connect=connect)
 
 
 class Node:
@@ -144,9 +154,9 @@
         # Not the module's own draws: its chance depends on its events alone.
         draw = Random(site.seed ^ 0x5EED).random
         agent = numeric_agent(reactor, CONNECT_MOST)
-        path = REPORT if site.report == "pull" else HEALTH
-        self._prober, self._probing = HttpProber(reactor, path, agent), dict[Server, None]()
-        self._room = DeferredSemaphore(PROBES)
+        path, pulls = (REPORT, True) if site.report == "pull" else (HEALTH, False)
+        self._prober, self._probing = Prober(reactor, path, pulls, site.connect), dict[Server, None]()
+        self._room = DeferredSemaphore(site.probes)
         self.words = BareLink(site.me, site.peers, site.peers_all, self._heard, self.notes.note)
         self.workers = Workers()
         self.catalog = Catalog(self.workers, self.placed, self.notes.note)
@@ -155,7 +165,8 @@
         self.watch = Watch(agent, f"{site.discovery[0]}:{site.discovery[1]}", self.catalog, reactor, draw,
                            self.give, self.notes.note)
         self.front = Front(self.host, self.workers, reactor, tuple(site.described["zones"]), site.proxies,
-                           site.reported, max(1, site.sockets - RESERVE - PROBES), self.give, self.notes.note)
+                           site.reported, max(1, site.sockets - RESERVE - site.probes), self.give,
+                           self.notes.note)
 
     def _first_list(self) -> None:
         """Steers by the list as it was before the start until discovery is heard."""
@@ -229,7 +240,7 @@
             load = {name: value for name, value in load_report(body).items() if name in self.site.reported}
             self.give(Probed(server, result, self.now() - asked, load))
 
-        self._room.run(self._prober.probe_load, address).addBoth(done)
+        self._room.run(self._prober.probe, address).addBoth(done)
 
     def _heard(self, peer: int, data: bytes) -> None:
         self.give(PeerWord(peer, data))
--- a/rushladder/service/probing.py
+++ b/rushladder/service/probing.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from twisted.internet import endpoints, error, protocol
+from twisted.internet import endpoints, error
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import ConnectError
 from twisted.python.failure import Failure
@@ -13,12 +13,10 @@
 from zope.interface import implementer
 
 from rushladder.interface import ProbeResult
+from rushladder.service.exchange import ANSWER_MOST, TURNED_AWAY
 
 CONNECT_MOST = 0.3  # s for a connection: a hundred times the way between regions
-ANSWER_MOST = 1.0  # s for an answer: the module's beat, so that one probe is over when the next is asked for
 PATH = "/health"
-REPORT_MOST = 1024  # bytes of a load report: ten times four values with their names
-TURNED_AWAY = (429, 503)  # too busy, or draining
 ENDINGS: tuple[tuple[type[BaseException], ProbeResult], ...] = (
     (error.TimeoutError, ProbeResult.TIMED_OUT),
     (CancelledError, ProbeResult.TIMED_OUT),
@@ -29,30 +27,6 @@
 )
 
 
-class _Report(protocol.Protocol):
-    """The body of an answer, cut at what a report takes. Given up, it ends the connection: a worker that
-    stops in the middle of a body must not keep a descriptor of ours."""
-
-    def __init__(self, response: Any) -> None:
-        self._body = b""
-        self.whole: Deferred[bytes] = Deferred(lambda _: self._end())
-        response.deliverBody(self)
-
-    def dataReceived(self, data: bytes) -> None:
-        self._body += data
-        if len(self._body) > REPORT_MOST:
-            self._end()
-
-    def connectionLost(self, reason: Any = None) -> None:
-        if not self.whole.called:
-            self.whole.callback(self._body[:REPORT_MOST])
-
-    def _end(self) -> None:
-        transport: Any = self.transport
-        if transport is not None:
-            transport.loseConnection()
-
-
 def _timed_out(result: Any, timeout: float) -> Any:
     """A request that is cancelled says that its connection broke; what it was is a time-out."""
     return Failure(error.TimeoutError())
@@ -87,15 +61,6 @@
         asked.addCallbacks(self._answered, self._failed)
         return asked
 
-    def probe_load(self, address: str) -> Deferred[tuple[ProbeResult, bytes]]:
-        """The same, with the answer's body: a load report."""
-        asked: Deferred[Any] = self._agent.request(b"GET", f"http://{address}{self._path}".encode())
-        asked.addCallback(lambda response: _Report(response).whole.addCallback(
-            lambda body: (self._result(response), body)))
-        asked.addTimeout(ANSWER_MOST, self._reactor, _timed_out)
-        asked.addErrback(lambda failure: (self._failed(failure), b""))
-        return asked
-
     def _answered(self, response: Any) -> ProbeResult:
         readBody(response).addErrback(lambda _: None)
         return self._result(response)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,8 +17,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError, TimeoutError
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
 
 from rushladder.catalog.reader import Catalog, Faulty
 from rushladder.catalog.watch import SILENT, Watch
@@ -37,7 +39,7 @@
     Tries,
 )
 from rushladder.peers.bare import BareLink
-from rushladder.service.probing import HttpProber, numeric_agent
+from rushladder.service.exchange import Prober
 from rushladder.service.notes import KINDS, SAME_AGAIN, Notes
 from rushladder.streams.codec import (
     Ack,
@@ -597,8 +599,8 @@
     def probe(self, *answer: bytes, after: float = 0.0) -> tuple[str, Any, StringTransport]:
         """What was asked, how it ended, and the connection."""
         reactor, found = MemoryReactorClock(), list[Any]()
-        prober = HttpProber(reactor, "/_load", numeric_agent(reactor, 0.3))
-        prober.probe_load("127.0.0.1:9000").addBoth(found.append)
+        prober = Prober(reactor, "/_load", True, 0.3)
+        prober.probe("127.0.0.1:9000").addBoth(found.append)
         (host, port, factory, _, _), = reactor.tcpClients
         self.assertEqual((host, port), ("127.0.0.1", 9000))
         wire = StringTransport()
@@ -624,6 +626,59 @@
         _, found, wire = self.probe(half, after=1.1)
         self.assertEqual((found, wire.disconnecting), ([(ProbeResult.TIMED_OUT, b"")], True))
 
+    def test_an_answer_in_pieces_of_one_byte_or_that_can_not_be_read(self) -> None:
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nutil=0.6\r\n0\r\n\r\n"
+        pieces = [chunked[place:place + 1] for place in range(len(chunked))]
+        self.assertEqual(self.probe(*pieces)[1], [(ProbeResult.OK, b"util=0.6")])
+        self.assertEqual(self.probe(b"SSH-2.0-x\r\n\r\n")[1], [(ProbeResult.ERROR, b"")])
+        endless = b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n" + b"x" * 5000
+        _, found, wire = self.probe(endless)
+        self.assertEqual((found, wire.disconnecting), ([(ProbeResult.OK, b"x" * 1024)], True))
+
+    def test_a_worker_that_ends_before_in_or_by_its_answer(self) -> None:
+        for said, ended in ((b"", (ProbeResult.RESET, b"")), (b"HTTP/1.1 200 O", (ProbeResult.RESET, b"")),
+                            (b"HTTP/1.1 200 OK\r\n\r\nutil=0.6", (ProbeResult.OK, b"util=0.6")),
+                            (b"HTTP/1.1 503 x\r\nContent-Length: 9\r\n\r\nu",
+                             (ProbeResult.TURNED_AWAY, b"u"))):
+            with self.subTest(said):
+                reactor, found = MemoryReactorClock(), list[Any]()
+                Prober(reactor, "/ping", True, 0.3).probe("127.0.0.1:9000").addBoth(found.append)
+                client: Any = reactor.tcpClients[0][2].buildProtocol(None)
+                client.makeConnection(StringTransport())
+                if said:
+                    client.dataReceived(said)
+                client.connectionLost(Failure(ConnectionDone()))
+                reactor.advance(2)  # nothing is answered twice
+                self.assertEqual(found, [ended])
+
+    def test_nobody_there_and_nobody_heard_of(self) -> None:
+        for report in (True, False):
+            reactor, found = MemoryReactorClock(), list[Any]()
+            prober = Prober(reactor, "/ping", report, 0.3)
+            for why in (ConnectionRefusedError(), TimeoutError()):
+                prober.probe("127.0.0.1:9000").addBoth(found.append)
+                factory: Any = reactor.tcpClients[-1][2]
+                factory.clientConnectionFailed(None, Failure(why))
+            self.assertEqual(found, [(ProbeResult.UNREACHABLE, b""), (ProbeResult.TIMED_OUT, b"")])
+
+    def test_health_stands_in_the_first_line(self) -> None:
+        for said, ended in ((b"HTTP/1.1 200 OK\r\n", ProbeResult.OK), (b"HTTP/1.0 204\r\n", ProbeResult.OK),
+                            (b"HTTP/1.1 503 x\r\n", ProbeResult.TURNED_AWAY),
+                            (b"HTTP/1.1 500 x\r\n", ProbeResult.ERROR), (b"+OK\r\n", ProbeResult.ERROR),
+                            (b"HTTP/1.1 2000\r\n", ProbeResult.ERROR), (b"x" * 1025, ProbeResult.ERROR),
+                            (b"HTTP/1.1 200", ProbeResult.RESET), (b"", ProbeResult.RESET)):
+            with self.subTest(said):
+                reactor, found, wire = MemoryReactorClock(), list[Any](), StringTransport()
+                Prober(reactor, "/ping", False, 0.3).probe("127.0.0.1:9000").addBoth(found.append)
+                client: Any = reactor.tcpClients[0][2].buildProtocol(None)
+                client.makeConnection(wire)
+                for place in range(len(said)):  # in pieces of one byte
+                    client.dataReceived(said[place:place + 1])
+                client.connectionLost(Failure(ConnectionDone()))
+                reactor.advance(2)  # nothing is answered twice
+                self.assertEqual((found, wire.disconnecting), ([(ended, b"")], True))
+                self.assertEqual(wire.value().split(b"\r\n")[0], b"GET /ping HTTP/1.1")
+
 
 class NoteStories(unittest.TestCase):
     def test_a_flood_of_faults_is_few_lines_and_right_counts(self) -> None:
