Races at reload, watch, probes and signals read, mended and forced on real sockets

Stories in memory, failing before: a probe's answer counted for a worker that had moved, started anew or gone, and one that had waited for its turn went to the address of before; a fault in one event lost the rest of the batch, a fault in one beat all others.

One story said that an old watch's last words count for nothing. The protocol counts a change as told once discovery has written it, so it is replaced: they count until the new place answers, and not after.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -700,13 +700,13 @@
         if event.token == self.ASK:
             self._host.watch(True)
         if event.token == self.BEAT:
+            self._host.wake(self._outbox.beat, self.BEAT)  # first: a fault must not end the beat
             self._outbox.period()
             self._fleet.judge(self._demand)
             self._levels.period()
             self._tables.refresh()
             if self._may_tell:
                 self._host.tell(None, self._demand.word())
-            self._host.wake(self._outbox.beat, self.BEAT)
 
     def _joined(self, event: Joined[Gateway]) -> None:
         gateway = event.proxy
--- a/rushladder/catalog/reader.py
+++ b/rushladder/catalog/reader.py
@@ -56,9 +56,10 @@
         self._workers, self._place, self._note = workers, place, note
         self.version, self.known, self.began = 0, dict[str, Known](), False
 
-    def address(self, server: Server) -> str | None:
+    def life(self, server: Server) -> tuple[str, float] | None:
+        """Where the worker answers, and since which start; None if it is not listed."""
         known = self.known.get(server.name)
-        return known.address if known is not None else None
+        return (known.address, known.started_ms) if known is not None else None
 
     def line(self, line: bytes) -> Listing[Server] | None:
         """One line of a watch, or a whole answer; None if it is empty or tells nothing new. Raises Faulty."""
--- a/rushladder/catalog/watch.py
+++ b/rushladder/catalog/watch.py
@@ -51,25 +51,31 @@
         self._asked: Any = None
         self._limit: Any = None
         self._failures, self._turn, self.heard_at = 0, 0, clock.seconds()
+        self._former: _Body | None = None  # at the place before, until the new one answers
+        self._whole = False  # something could not be read: the whole list is wanted
 
     def start(self) -> None:
         self._turn += 1
         turn = self._turn
-        url = f"http://{self._address}{PATH}{self._catalog.version}".encode()
+        url = f"http://{self._address}{PATH}{0 if self._whole else self._catalog.version}".encode()
         self._set(SILENT, self._silent)
         self._asked = asked = self._agent.request(b"GET", url)
         asked.addCallbacks(self._answered, lambda why: None, callbackArgs=(turn,))
         asked.addBoth(lambda found: self._again(turn) if found is None else None)
 
     def move(self, address: str) -> None:
-        """Goes on at another address from the version that is known."""
+        """Goes on at another address from the version that is known. The watch at the former place is read
+        until the new one answers or that place ends it: a drain that is told there meanwhile counts."""
         if address != self._address:
             self._address, self._failures = address, 0
+            former, self._body = self._body or self._former, None
             self._close()
+            self._former = former
             self.start()
 
     def stop(self) -> None:
         self._close()
+        self._leave()
         self._turn += 1
 
     def _answered(self, response: Any, turn: int) -> bool | None:
@@ -79,28 +85,43 @@
             response.deliverBody(closing := _Body(self))
             closing.stop()
             return None
-        self._body = _Body(self)
+        self._leave()
+        self._body, self._whole = _Body(self), False
         self._heard()
         response.deliverBody(self._body)
         return True
 
     def lines(self, body: _Body, lines: list[bytes]) -> None:
-        if body is not self._body:
+        if body is self._body:
+            self._heard()
+        elif body is not self._former:
             return
-        self._heard()
+        faulty = False
         for line in lines:
             try:
                 listing = self._catalog.line(line)
             except Faulty as trouble:
                 self.note("list.faulty", str(trouble))
+                faulty = True
                 continue
             if listing is not None:
                 self._give(listing)
+        if faulty and body is self._body:
+            # The next good line would count as the newest, and what this one told would never be heard.
+            self._whole = True
+            self._again(self._turn)
 
     def ended(self, body: _Body) -> None:
+        if body is self._former:
+            self._former = None
         if body is self._body:
             self._again(self._turn)
 
+    def _leave(self) -> None:
+        former, self._former = self._former, None
+        if former is not None:
+            former.stop()
+
     def _heard(self) -> None:
         self._failures, self.heard_at = 0, self._clock.seconds()
         self._set(SILENT, self._silent)
--- a/rushladder/service/node.py
+++ b/rushladder/service/node.py
@@ -48,8 +48,12 @@
 # Descriptors beside streams and probes: log, poll, listeners, watches old and new, and the connections of a
 # crowd that are accepted in one turn and close in the next.
 RESERVE = 64
+# A configuration file read while it is being replaced is half of one: read again after a tenth of a second,
+# then after doubled waits, 1.5 s in all; one that stays faulty waits for the next SIGHUP.
+RELOAD_AGAIN, RELOADS = 0.1, 5
 PERIOD = 10.0  # s between two lines of figures in the log
 HEALTH, REPORT = "/ping", "/_load"
+AT_RELOAD = frozenset({"discovery", "known", "seed"})  # what may differ in a configuration that is read again
 
 
 class Wrong(ValueError):
@@ -82,6 +86,7 @@
     report: str  # where load reports come from: "piggyback", "pull" or "silent"
     reported: frozenset[str]  # the values in them
     connect: float  # s that dialling a worker may take
+    given: Mapping[str, Any]  # what a reload does not change
 
     @property
     def probes(self) -> int:
@@ -137,7 +142,8 @@
         peer_listen=_place(raw["peer_listen"], "peer_listen") if raw.get("peer_listen") else None,
         peers=tuple(_place(peer, "peers") for peer in peers),
         peers_all=_place(raw["peers_all"], "peers_all") if raw.get("peers_all") else None,
-        known=raw.get("known"), described=described, report=report, reported=fields, connect=connect)
+        known=raw.get("known"), described=described, report=report, reported=fields, connect=connect,
+        given={name: value for name, value in raw.items() if name not in AT_RELOAD})
 
 
 class Node:
@@ -151,10 +157,12 @@
         self.notes = Notes(log, reactor)
         self._batch, self._turn, self._wake = list[Event](), False, None  # type: list[Event], bool, Any
         self._late = self._slow = 0.0
+        self.ended = False
         # Not the module's own draws: its chance depends on its events alone.
         draw = Random(site.seed ^ 0x5EED).random
         agent = numeric_agent(reactor, CONNECT_MOST)
         path, pulls = (REPORT, True) if site.report == "pull" else (HEALTH, False)
+        self._again: Any = None
         self._prober, self._probing = Prober(reactor, path, pulls, site.connect), dict[Server, None]()
         self._room = DeferredSemaphore(site.probes)
         self.words = BareLink(site.me, site.peers, site.peers_all, self._heard, self.notes.note)
@@ -183,7 +191,9 @@
             self._reactor.listenUDP(site.peer_listen[1], self.words, interface=site.peer_listen[0])
         self.watch.start()
         self._figures()
-        self._reactor.listenTCP(site.listen[1], self.front, backlog=1024, interface=site.listen[0])
+        # All proxies may dial at once; past the kernel's own bound a larger figure changes nothing.
+        self._reactor.listenTCP(site.listen[1], self.front, backlog=max(1024, 2 * site.proxies),
+                                interface=site.listen[0])
         self._log.info("node.serves", name=site.name, workers=len(self.catalog.known), proxies=site.proxies,
                        places=self.front.places)
 
@@ -227,34 +237,50 @@
                 self._wake = self._reactor.callLater(wait, self._woken)
 
     def _probe(self, server: Server) -> None:
-        address = self.catalog.address(server)
         # One at a time: a late answer says enough when it comes.
-        if address is None or server in self._probing:
+        if server.name not in self.catalog.known or server in self._probing:
             return
         self._probing[server] = None
-        asked = self.now()
+        asked, at = self.now(), list[Any]()
+
+        def begin() -> Any:
+            """It may have waited for its turn: where the worker is now, if it is still listed."""
+            at.append(self.catalog.life(server))
+            return self._prober.probe(at[0][0]) if at[0] is not None else None
 
         def done(found: Any) -> None:
             self._probing.pop(server, None)
+            # An answer of the life before says nothing of one that has moved or started anew, nor of one that
+            # is gone: two of them would withdraw a worker that is well.
+            if at[0] is None or at[0] != self.catalog.life(server):
+                return
             result, body = found if isinstance(found, tuple) else (ProbeResult.ERROR, b"")
             load = {name: value for name, value in load_report(body).items() if name in self.site.reported}
             self.give(Probed(server, result, self.now() - asked, load))
 
-        self._room.run(self._prober.probe, address).addBoth(done)
+        self._room.run(begin).addBoth(done)
 
     def _heard(self, peer: int, data: bytes) -> None:
         self.give(PeerWord(peer, data))
 
     # Signals and figures.
 
-    def reload(self, environment: Mapping[str, str] = os.environ) -> None:
+    def reload(self, environment: Mapping[str, str] = os.environ, tries: int = RELOADS) -> None:
         """Reads the configuration again: the watch goes on at the place that it names now. A faulty file
-        changes nothing."""
+        changes nothing, and is read again soon, as it may be in the middle of being replaced."""
+        if self._again is not None and self._again.active():
+            self._again.cancel()
         try:
             site = read_site(environment)
         except Wrong as trouble:
             self.notes.note("reload.refused", str(trouble))
+            if tries > 1:
+                wait = RELOAD_AGAIN * 2 ** (RELOADS - tries)
+                self._again = self._reactor.callLater(wait, self.reload, environment, tries - 1)
             return
+        kept = [name for name in site.given if site.given[name] != self.site.given.get(name)]
+        if kept:
+            self.notes.note("reload.kept", "takes a restart: " + ", ".join(sorted(kept))[:200])
         self._log.info("reload", discovery=f"{site.discovery[0]}:{site.discovery[1]}")
         self.watch.move(f"{site.discovery[0]}:{site.discovery[1]}")
 
@@ -269,6 +295,28 @@
         self._late = self._slow = 0.0
 
 
+class Signals:
+    """SIGHUP and SIGTERM from the process's first line on. By default the one would kill a manager that is
+    about to serve, and the reactor's own handler of the other fails when it comes twice."""
+
+    def __init__(self) -> None:
+        self._early, self._give = list[int](), self._early_one
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            signal.signal(number, lambda number, _: self._give(number))
+
+    def _early_one(self, number: int) -> None:
+        if number == signal.SIGTERM:
+            raise SystemExit(0)  # nothing is served yet, and nobody waits for it
+        self._early = [number]
+
+    def heard(self, reactor: Any, reload: Callable[[], None], end: Callable[[], None]) -> None:
+        """From now on they are carried out in turns of the reactor; also one that came before."""
+        what = {signal.SIGHUP: reload, signal.SIGTERM: end}
+        self._give = lambda number: reactor.callFromThread(what[signal.Signals(number)])
+        for number in self._early:
+            self._give(number)
+
+
 def _descriptors() -> int:
     try:
         return len(os.listdir("/proc/self/fd")) - 1
@@ -286,6 +334,7 @@
 
 def main() -> int:
     """Serves until SIGTERM. Leaves with 2 and one line if the configuration is faulty."""
+    signals = Signals()
     log = make_log(LogForm("json", "info"))
     try:
         site = read_site(os.environ)
@@ -305,7 +354,6 @@
     globalLogBeginner.beginLoggingTo(
         [provider(ILogObserver)(observe)], redirectStandardIO=False, discardBuffer=True)
     node = Node(site, reactor, log)
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reload))
     failed = list[str]()
 
     def start() -> None:
@@ -315,10 +363,16 @@
             failed.append(f"{type(trouble).__name__}: {trouble}")
             reactor.stop()
 
+    def end() -> None:
+        if reactor.running and not node.ended:
+            node.ended = True
+            reactor.stop()
+
     reactor.callWhenRunning(start)
+    reactor.callWhenRunning(signals.heard, reactor, node.reload, end)
     gc.collect()
     gc.freeze()  # what was imported stays: collections need not walk it again and again
-    reactor.run()
+    reactor.run(installSignalHandlers=False)
     if failed:
         log.error("node.failed", why=failed[0])
         return 1
--- a/rushladder/streams/host.py
+++ b/rushladder/streams/host.py
@@ -77,13 +77,22 @@
     # What comes in.
 
     def take(self, now: int, events: Collection[Event] = ()) -> None:
-        """One batch: whatever reminders are due, then the events; and what was ordered goes out."""
+        """One batch: whatever reminders are due, then the events; and what was ordered goes out.
+
+        A fault of the module in one event must not lose the others, a joining or a drain among them: it is
+        raised once the batch is done.
+        """
         self._now = max(now, self._now)
-        for reminder in self._reminders.due(self._now):
-            self.manager.take(reminder)
-        for event in events:
-            self.manager.take(event)
-        self.manager.close()
+        faults = list[Exception]()
+        # None: the batch's end.
+        for event in (*self._reminders.due(self._now), *events, None):
+            try:
+                if event is not None:
+                    self.manager.take(event)
+                else:
+                    self.manager.close()
+            except Exception as fault:
+                faults.append(fault)
         touched, self._touched = self._touched, {}
         for port in touched:
             self.write(port)
@@ -93,6 +102,8 @@
         words, self._words = self._words, []
         for word in words:
             self._tell(*word)
+        if faults:
+            raise faults[0]
 
     def next(self) -> int | None:
         """When the module wants to be woken."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -40,6 +40,7 @@
 )
 from rushladder.peers.bare import BareLink
 from rushladder.service.exchange import Prober
+from rushladder.service.node import Node, read_site
 from rushladder.service.notes import KINDS, SAME_AGAIN, Notes
 from rushladder.streams.codec import (
     Ack,
@@ -557,10 +558,40 @@
         self.discovery.bodies[-1].dataReceived(listing(9, entry("a")) + b"\n")
         self.watch.move("127.0.0.1:2")
         self.assertEqual(self.discovery.asked[-1], b"http://127.0.0.1:2/catalog/members?stream=1&index=9")
-        self.discovery.bodies[0].dataReceived(listing(10, entry("b")) + b"\n")  # the old one's last words
+        # What the former place still says counts as told: a drain heard no more would pass its grace.
+        self.discovery.bodies[0].dataReceived(listing(10, entry("a", "draining"), full=False) + b"\n")
+        self.assertEqual((self.given[-1].entries[0].availability, self.discovery.ended),
+                         (Availability.DRAINING, [False]))
+        self.discovery.answer()
+        self.assertEqual(self.discovery.ended, [True, False])
+        self.discovery.bodies[0].dataReceived(listing(11, entry("b")) + b"\n")  # too late
         self.discovery.bodies[0].connectionLost()
         self.clock.advance(1)
-        self.assertEqual((len(self.discovery.asked), self.catalog.version), (2, 9))
+        self.assertEqual((len(self.discovery.asked), self.catalog.version), (2, 10))
+
+    def test_a_former_place_that_ends_first_does_not_end_the_new_dial(self) -> None:
+        self.discovery.answer()
+        self.watch.move("127.0.0.1:2")
+        self.discovery.bodies[0].connectionLost()  # 1.5 s after the move, by the platform's word
+        self.assertEqual(len(self.discovery.asked), 2)
+        self.discovery.answer()
+        self.discovery.bodies[-1].dataReceived(listing(3, entry("a")) + b"\n")
+        self.assertEqual(set(self.catalog.known), {"a"})
+
+    def test_what_could_not_be_read_is_asked_for_again(self) -> None:
+        self.discovery.answer()
+        self.discovery.bodies[-1].dataReceived(listing(3, entry("a")) + b"\n")
+        self.discovery.bodies[-1].dataReceived(b'{"version":4,"full":false,"serv\n'
+                                               + listing(5, entry("c"), full=False) + b"\n")
+        self.assertEqual((set(self.catalog.known), self.catalog.version), ({"a", "c"}, 5))
+        self.clock.advance(1)
+        self.assertEqual((self.indexes()[-1], self.discovery.ended), ("0", [True]))
+        self.discovery.answer()
+        self.discovery.bodies[-1].dataReceived(listing(5, entry("a"), entry("b"), entry("c")) + b"\n")
+        self.assertEqual(set(self.catalog.known), {"a", "b", "c"})
+        self.discovery.bodies[-1].connectionLost()
+        self.clock.advance(1)
+        self.assertEqual(self.indexes()[-1], "5")
 
 
 class BareWords(unittest.TestCase):
@@ -680,6 +711,69 @@
                 self.assertEqual(wire.value().split(b"\r\n")[0], b"GET /ping HTTP/1.1")
 
 
+class NodeStories(unittest.TestCase):
+    """The manager's own process without its process: a reactor in memory."""
+
+    def node(self, *workers: dict[str, Any]) -> tuple[Any, Any]:
+        reactor: Any = MemoryReactorClock()
+        story = ProcessStories()
+        story.port = 9
+        config = story.config(known=json.loads(listing(41, *workers)))
+        config["settings"]["limits"]["probes"] = True
+        with tempfile.TemporaryDirectory() as held:
+            place = Path(held, "config.json")
+            place.write_text(json.dumps(config))
+            site = read_site({"RELAY_CONFIG": str(place)})
+
+        class Log:
+            info = warning = staticmethod(lambda *words, **more: None)
+        return Node(site, reactor, Log(), reactor.seconds), reactor
+
+    def test_an_answer_of_a_life_before_counts_for_nothing(self) -> None:
+        moved = {**entry("s-0"), "addr": "127.0.0.1:10"}
+        for changed, counts in ((entry("s-0"), True), (moved, False), (entry("s-0", "gone"), False),
+                                (entry("s-0", started_ms=9e12), False)):
+            node, reactor = self.node(entry("s-0"), entry("s-1"))
+            server = node.workers.get("s-0")
+            node._probe(server)
+            node.catalog.line(listing(42, changed, full=False))
+            factory: Any = reactor.tcpClients[0][2]
+            factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+            self.assertEqual([event.worker for event in node._batch], [server] if counts else [])
+            node._probe(server)  # and the next one goes where it is now
+            listed = changed["state"] != "gone"
+            self.assertEqual([client[1] for client in reactor.tcpClients[1:]],
+                             [int(changed["addr"].rpartition(":")[2])] if listed else [])
+
+    def test_one_that_waited_for_its_turn_is_probed_where_it_is_then(self) -> None:
+        node, reactor = self.node(entry("s-0"), *(entry(f"s-{k}") for k in range(1, 80)))
+        for k in range(80):
+            node._probe(node.workers.get(f"s-{k}"))
+        waits = f"s-{len(reactor.tcpClients)}"
+        node.catalog.line(listing(42, {**entry(waits), "addr": "127.0.0.1:10"}, full=False))
+        reactor.tcpClients[0][2].clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+        self.assertEqual(reactor.tcpClients[-1][1], 10)
+
+    def test_a_fault_of_the_module_in_one_event_loses_no_other(self) -> None:
+        node, _ = self.node(entry("s-0"), entry("s-1"))
+        sent = list[bytes]()
+
+        class Stream:
+            send = staticmethod(sent.append)
+        joined = node.host.join(3, "a", 9.0, True, Stream())
+        take, broken = node.host.manager.take, Left(node.host.ports[3].gateway)
+
+        def faulty(event: Event) -> None:
+            if event is broken:
+                raise ZeroDivisionError
+            take(event)
+        node.host.manager.take = faulty
+        with self.assertRaises(ZeroDivisionError):
+            node.host.take(node.now(), [broken, *joined])
+        node.host.take(node.now() + SECOND)
+        self.assertIn(b"replace=1", sent[0])
+
+
 class NoteStories(unittest.TestCase):
     def test_a_flood_of_faults_is_few_lines_and_right_counts(self) -> None:
         clock, lines = Clock(), list[tuple[str, int]]()
