--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -559,7 +559,7 @@
                 # Far, a large surplus goes to all: filled to the brim, few servers would be the slowest.
                 left, free = table.want - sum(table.wanted.values()), sum(room.get(s, 0.0) for s in some)
                 even = not table.wanted or (left > 0.6 * free and all(s.zone != table.zone for s in some))
-                for each in [some] if even else [[server] for server in some]:
+                for each in [some] if even else [[server] for server in some if room.get(server)]:
                     self._pour(table, each, room)
         for table in tables:
             for least in (1, 0):  # where none has room, what is warm, or else whatever there is
@@ -574,8 +574,9 @@
 
     @staticmethod
     def _pour(table: Table, servers: Sequence[Server], room: dict[Server, float]) -> None:
-        want, free = table.want - sum(table.wanted.values()), sum(room.get(s, 0.0) for s in servers)
-        for server in [server for server in servers if server in room and want > 0 and free > 0]:
+        want = table.want - sum(table.wanted.values())
+        free = sum(room.get(s, 0.0) for s in servers) if want > 0 else 0.0
+        for server in [server for server in servers if server in room] if free > 0 else ():
             part = min(1.0, want / free) * room[server]
             table.wanted[server] = table.wanted.get(server, 0.0) + part
             room[server] -= part
--- a/rushladder/streams/host.py
+++ b/rushladder/streams/host.py
@@ -72,6 +72,7 @@
         self._gateways = dict[int, Gateway]()
         self._probes, self._words = list[Server](), list[tuple[int | None, bytes]]()
         self.lines = self.messages = 0  # written, as the protocol counts them
+        self._texts = dict[Any, str]()  # parts of this batch's messages: most go to all streams of a table
         self.manager = Manager(self, seed, **described)
 
     # What comes in.
@@ -94,8 +95,10 @@
             except Exception as fault:
                 faults.append(fault)
         touched, self._touched = self._touched, {}
+        self._texts.clear()  # what a stream that went on meanwhile was written is of the tables before
         for port in touched:
             self.write(port)
+        self._texts.clear()
         probes, self._probes = self._probes, []
         for server in probes:
             self._probe(server)
@@ -160,7 +163,7 @@
             products = [product for product in self.products if port.bound.get(product) is table]
             names, anew = [product.name for product in products], table in port.rebind
             servers = table.lines if anew else port.rows.get(table, {})
-            rows = [(server.name, table.lines.get(server, 0.0)) for server in servers]
+            rows = list(servers)
             levels = dict[tuple[float, int], list[Product]]()
             for product in products:
                 level = self._level(table, product)
@@ -170,8 +173,8 @@
             own = next((level for level, some in levels.items() if some == products), None)
             for place in range(0, len(rows) or 1, ROWS):
                 if anew or rows or own:
-                    parts.append(config(names, anew and not place, rows[place:place + ROWS],
-                                        own if not place else None))
+                    parts.append(self._text(table, names, anew and not place, rows[place:place + ROWS],
+                                            own if not place else None))
             parts += [config([product.name for product in some], gate=level)
                       for level, some in levels.items() if level != own]
             count += anew + len(rows) + sum(map(len, levels.values()))
@@ -181,6 +184,15 @@
         self.lines += count
         return whole(parts)
 
+    def _text(self, table: Tbl, names: Sequence[str], anew: bool, servers: Sequence[Server],
+              gate: tuple[float, int] | None) -> str:
+        """One part of a message, worked out once for all streams that are owed the same."""
+        key = table, tuple(names), anew, tuple(servers), gate
+        if key not in self._texts:
+            rows = [(server.name, table.lines.get(server, 0.0)) for server in servers]
+            self._texts[key] = config(names, anew, rows, gate)
+        return self._texts[key]
+
     def _level(self, table: Tbl, product: Product) -> tuple[float, int] | None:
         """The table's level and that for all: the lower counts, with the table's own way of trying again."""
         own, every = table.gates.get(product), self._all.get(product)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -323,6 +323,21 @@
         talk.resumeProducing()
         self.assertEqual(wire.lines(), ["CONFIG drop=s0 part=1", "CONFIG for=ask+pay rows=s0:499"])
 
+    def test_streams_that_share_a_table_are_written_what_stands_in_it_now(self) -> None:
+        streams = [self.join(0), self.join(1)]
+        self.turn()
+        self.run_for(0.2)
+        worker = self.workers.get("s0")
+        assert worker is not None
+        streams[0][0].pauseProducing()
+        for weight in (3, 4):
+            self.host.weigh(0, worker, float(weight))
+            self.turn()
+            if weight == 3:
+                streams[0][0].resumeProducing()  # written between two batches
+            for _, wire in streams:
+                self.assertIn(f"rows=s0:{weight}", wire.lines()[-1])
+
     def test_a_drain_is_told_in_the_turn_in_which_it_is_read(self) -> None:
         _, wire = self.join()
         self.turn()
