The cap of messages to a proxy holds for one whose stream breaks again and again

StreamHost now counts what it wrote to each proxy over its streams, and holds what is owed beyond the cap until the oldest leaves the time, merged. It bounds by the settings alone and chooses nothing; without a cap it counts nothing. More orders forced on sockets: SIGKILL in the start and under joinings with a start on the same place at once; in memory, what an old paused stream was still owed.

--- a/rushladder/streams/host.py
+++ b/rushladder/streams/host.py
@@ -7,15 +7,19 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Any, Protocol
 from weakref import WeakSet
 
 from rushladder.brain import Gateway, Manager, Server
 from rushladder.core.reminders import Reminders
-from rushladder.interface import Event, Joined, Left, Product, Proxy, Retry, Worker
+from rushladder.interface import Channel, Event, Joined, Left, Product, Proxy, Retry, Worker
 from rushladder.streams.codec import MARKS, PARTS, config, whole
 
+# Beside the time over which messages to one proxy are counted: ours are stamped when they are written, the
+# platform's when their last byte has come, a quarter of a second later at most in every run so far.
+CAP_MARGIN = 2_500
 ROWS = 10_000  # lines in one part of a message: some 400 KB, under the protocol's limit
 
 
@@ -72,6 +76,10 @@
         self._gateways = dict[int, Gateway]()
         self._probes, self._words = list[Server](), list[tuple[int | None, bytes]]()
         self.lines = self.messages = 0  # written, as the protocol counts them
+        # When each proxy was last written, as often as the cap allows; and who waits for its turn until when.
+        channel: Channel = described["channel"]
+        self._cap, self._span = channel.message_cap, channel.cap_span + CAP_MARGIN
+        self._written, self._held = dict[int, deque[int]](), dict[Port, int]()
         self._texts = dict[Any, str]()  # parts of this batch's messages: most go to all streams of a table
         self.manager = Manager(self, seed, **described)
 
@@ -95,6 +103,9 @@
             except Exception as fault:
                 faults.append(fault)
         touched, self._touched = self._touched, {}
+        for port in [port for port, due in self._held.items() if due <= self._now]:
+            del self._held[port]
+            touched[port] = None
         self._texts.clear()  # what a stream that went on meanwhile was written is of the tables before
         for port in touched:
             self.write(port)
@@ -109,8 +120,9 @@
             raise faults[0]
 
     def next(self) -> int | None:
-        """When the module wants to be woken."""
-        return self._reminders.next()
+        """When the module wants to be woken, or a stream that waits may be written."""
+        due = self._reminders.next()
+        return min(self._held.values(), default=due) if due is None else min((due, *self._held.values()))
 
     def join(self, number: int, zone: str, weight: float, fresh: bool, stream: Stream) -> list[Event]:
         """A proxy's stream, in place of any older one, and the events for the next batch."""
@@ -136,6 +148,7 @@
         port = self.ports.pop(number, None)
         if port is not None:
             self._touched.pop(port, None)
+            self._held.pop(port, None)
             for table in set(port.bound.values()):
                 del table.ports[port]
         return port
@@ -144,7 +157,7 @@
 
     def write(self, port: Port) -> None:
         """The message that the stream is owed, unless it can't take more now."""
-        if port.paused or not port.owes():
+        if port.paused or not port.owes() or self._waits(port):
             return
         message = self._message(port)
         if port.mark is not None:
@@ -154,6 +167,19 @@
             self.messages += 1
             port.stream.send(message)
 
+    def _waits(self, port: Port) -> bool:
+        """Whether the proxy was written as often as the cap allows. The module's beat leaves room for two
+        joinings beside it; a stream that breaks and comes again thrice within the time would pass the cap
+        (rule 5). What it is owed meanwhile falls together."""
+        if not self._cap:
+            return False
+        written = self._written.setdefault(int(port.gateway.name), deque(maxlen=self._cap))
+        if len(written) == self._cap and (due := written[0] + self._span) > self._now:
+            self._held[port] = due
+            return True
+        written.append(self._now)
+        return False
+
     def _message(self, port: Port) -> bytes:
         drop = sorted(server.name for server in port.heed if server in self._withdrawn)
         undrop = sorted(server.name for server in port.heed if server not in self._withdrawn)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -323,6 +323,23 @@
         talk.resumeProducing()
         self.assertEqual(wire.lines(), ["CONFIG drop=s0 part=1", "CONFIG for=ask+pay rows=s0:499"])
 
+    def test_what_the_old_stream_was_still_owed_goes_to_the_new_one_whole(self) -> None:
+        old, wire = self.join(0)
+        self.turn()
+        self.run_for(0.2)
+        old.pauseProducing()
+        worker = self.workers.get("s0")
+        assert worker is not None
+        self.host.weigh(0, worker, 3.0)
+        self.turn()
+        wire.lines()
+        _, new = self.join(0, fresh=0)
+        old.resumeProducing()  # its last bytes have left, late
+        self.turn()
+        self.run_for(0.2)
+        self.assertEqual((wire.lines(), wire.disconnected), ([], True))
+        self.assertRegex(new.lines()[0], r"replace=1 rows=.*s0:3")
+
     def test_streams_that_share_a_table_are_written_what_stands_in_it_now(self) -> None:
         streams = [self.join(0), self.join(1)]
         self.turn()
@@ -393,6 +410,58 @@
         self.assertTrue(all(len(line) < 1 << 20 for line in lines))
 
 
+class CapStories(unittest.TestCase):
+    """A cap of twelve messages to a proxy in ten seconds, as the settings may have it."""
+
+    def setUp(self) -> None:
+        self.now, self.sent = 1000 * SECOND, list[int]()
+        self.host = StreamHost(7, FakeHost(cap=12).described, self.now, lambda *_: None, lambda *_: None)
+        catalog = Catalog(Workers(), lambda ms: 1, lambda *_: None)
+        told = catalog.line(listing(1, *(entry(f"s{k}") for k in range(6))))
+        assert told is not None
+        self.take(0.0, told)
+
+    def take(self, seconds: float, *events: Event) -> None:
+        end = self.now + int(seconds * SECOND)
+        self.host.take(self.now, events)
+        while self.now < end:
+            due = self.host.next()
+            self.now = min(end, due if due is not None else end)
+            self.host.take(self.now)
+
+    def join(self) -> None:
+        story = self
+
+        class Stream:
+            def send(self, message: bytes) -> None:
+                story.sent.append(story.now)
+
+            def drop(self) -> None:
+                pass
+        self.take(0.1, *self.host.join(0, "a", 9.0, True, Stream()))
+
+    def test_a_stream_that_breaks_again_and_again_is_written_no_more_than_the_cap(self) -> None:
+        for _ in range(40):
+            self.join()
+            self.take(0.5)
+        self.assertLessEqual(max(sum(at <= other < at + 10 * SECOND for other in self.sent)
+                                 for at in self.sent), 12)
+        self.assertGreater(len(self.sent), 20)
+        before = len(self.sent)
+        self.join()
+        self.take(10.0)
+        self.assertGreater(len(self.sent), before)  # and what was held goes out by itself
+
+    def test_one_that_leaves_while_it_waits_is_forgotten(self) -> None:
+        for _ in range(13):
+            self.join()
+        port = self.host.ports[0]
+        self.assertIsNotNone(self.host.leave(0, port.stream))
+        before = len(self.sent)
+        self.take(20.0)
+        self.assertEqual(len(self.sent), before)
+
+
 class LongRun(Platform):
     def test_nothing_grows_while_workers_and_streams_come_and_go(self) -> None:
         self.join()
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -152,25 +152,25 @@
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", run], cwd=ROOT, stderr=subprocess.PIPE, text=True, preexec_fn=before,
             env={**os.environ, "RELAY_CONFIG": str(self.file)})
-        self.story.addCleanup(self._reap)
-        self._reader = threading.Thread(target=self._read, daemon=True)
-        self._heard = threading.Condition()
+        self._log, self._heard = list[str](), threading.Condition()
+        self._reader = threading.Thread(target=self._read, args=(self.process, self._log), daemon=True)
         self._reader.start()
+        self.story.addCleanup(self._reap, self.process, self._reader)
         return self
 
-    def _read(self) -> None:
-        assert self.process.stderr is not None
-        for line in self.process.stderr:
+    def _read(self, process: subprocess.Popen[str], log: list[str]) -> None:
+        assert process.stderr is not None
+        for line in process.stderr:
             with self._heard:
-                self._log.append(line)
+                log.append(line)
                 self._heard.notify_all()
 
-    def _reap(self) -> None:
-        self.process.kill()
-        self.process.wait()
-        self._reader.join()
-        assert self.process.stderr is not None
-        self.process.stderr.close()
+    def _reap(self, process: subprocess.Popen[str], reader: threading.Thread) -> None:
+        process.kill()
+        process.wait()
+        reader.join()
+        assert process.stderr is not None
+        process.stderr.close()
 
     def logged(self, word: str) -> str:
         """Waits for a line of the log."""
@@ -270,6 +270,28 @@
         manager.ends()
 
 
+    def test_killed_under_joinings_and_started_again_at_once(self) -> None:
+        manager, _, proxy = self.watching()
+        wires = [manager.dial().join(proxy) for proxy in range(4, 12)]
+        manager.signal(signal.SIGKILL)
+        manager.process.wait(WAIT)
+        self.assertTrue(proxy.ended() and all(wire.ended() for wire in wires))
+        manager.start().logged("node.serves")  # its place is free again though old connections linger
+        self.assertEqual(self.discovery.take().watched(), "41")
+        for place, wire in enumerate([manager.dial().join(proxy, fresh=0) for proxy in range(3, 12)]):
+            self.assertIn("rows=", wire.until("replace=1"), place)
+
+    def test_killed_in_the_middle_of_the_start_and_started_again(self) -> None:
+        manager = self.manager()
+        end = self.fifo(manager)
+        manager.signal(signal.SIGKILL)
+        manager.process.wait(WAIT)
+        os.close(end)
+        manager.file.unlink()
+        manager.write()
+        manager.start().logged("node.serves")
+
+
 class Reload(Races):
     def test_half_a_file_is_read_again(self) -> None:
         manager, _, _ = self.watching()
