--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -422,6 +422,31 @@
             asked.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         self.assertTrue(old.unasked(0))
 
+    def test_an_answer_of_the_place_before_counts_for_nothing(self) -> None:
+        old, new, names = Place(self), Place(self), ("s-1", "s-2", "s-3")
+        manager, watch, proxy = self.watching(entry("s-0", old.port), *map(entry, names), probes=True)
+        collector = manager.dial()
+
+        def report() -> None:
+            """All are well but s-0, of which nothing is heard: two bad answers in a row withdraw it."""
+            collector.send("".join(f"LOAD zone=a server={name} tries=20 failed=0 mean_ms=50 span_ms=1000\r\n"
+                                   for name in names).encode() + b"PING\r\n")
+            collector.until("PONG")
+        collector.send(b"SOURCE zone=a\r\n")
+        report()
+        old.take().sock.close()  # the first of them
+        held = old.take()
+        watch.chunk(listing(42, entry("s-0", new.port), entry("s-3", state="draining")))
+        proxy.until("drop=s-3")  # the list has been read
+        held.sock.close()  # not the second: it was asked of the place before
+        for _ in range(3):
+            report()
+            asked = new.take()
+            asked.until("GET /ping")
+            asked.send(b"HTTP/1.1 200 OK\r\n\r\n")
+        watch.chunk(listing(43, entry("s-2", state="draining")))
+        self.assertNotIn("s-0", proxy.until("drop="))
+
     def test_killed_in_pieces_and_too_late_one_outstanding_a_worker(self) -> None:
         place = Place(self)
         manager, _, _ = self.watching(entry("s-0", place.port), entry("s-1"), probes=True)
@@ -521,6 +546,22 @@
         manager.signal(signal.SIGTERM)
         manager.ends()
 
+    def test_a_stream_that_breaks_again_and_again_is_written_no_more_than_the_cap(self) -> None:
+        manager = self.manager()
+        manager.config["settings"]["family_info"] |= {"update_cap": 12, "counted_over": 10000000}
+        manager.serves()
+        heard = list[float]()
+        while len(heard) < 12:
+            wire = manager.dial().join(3)
+            wire.until("CONFIG")
+            heard.append(time.monotonic())
+            wire.sock.close()
+        wire = manager.dial().join(3)
+        if heard[-1] - heard[0] < 6:  # else the machine was too slow for all to fall into one time of the cap
+            self.assertTrue(wire.quiet(2.0))
+        wire.until("replace=1")  # and then it is bound by itself
+        self.assertGreater(time.monotonic() - heard[0], 10)
+
     def test_many_joinings_at_once_and_some_twice(self) -> None:
         manager, _, _ = self.watching()
         wires = [manager.dial() for _ in range(18)]
