SIGINT ends a manager like SIGTERM, and a failed start is ended once

Found on rereading: with the reactor's own signal handlers off, SIGINT at a terminal would raise out of the poll. Story: SIGINT after two SIGTERMs changes nothing (exit 0, no trace in the log).

--- a/rushladder/service/node.py
+++ b/rushladder/service/node.py
@@ -301,18 +301,17 @@
 
     def __init__(self) -> None:
         self._early, self._give = list[int](), self._early_one
-        for number in (signal.SIGHUP, signal.SIGTERM):
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda number, _: self._give(number))
 
     def _early_one(self, number: int) -> None:
-        if number == signal.SIGTERM:
+        if number != signal.SIGHUP:
             raise SystemExit(0)  # nothing is served yet, and nobody waits for it
         self._early = [number]
 
     def heard(self, reactor: Any, reload: Callable[[], None], end: Callable[[], None]) -> None:
         """From now on they are carried out in turns of the reactor; also one that came before."""
-        what = {signal.SIGHUP: reload, signal.SIGTERM: end}
-        self._give = lambda number: reactor.callFromThread(what[signal.Signals(number)])
+        self._give = lambda number: reactor.callFromThread(reload if number == signal.SIGHUP else end)
         for number in self._early:
             self._give(number)
 
@@ -356,17 +355,17 @@
     node = Node(site, reactor, log)
     failed = list[str]()
 
+    def end() -> None:
+        if reactor.running and not node.ended:
+            node.ended = True
+            reactor.stop()
+
     def start() -> None:
         try:
             node.start()
         except Exception as trouble:  # a process that can't listen must not stay and look alive
             failed.append(f"{type(trouble).__name__}: {trouble}")
-            reactor.stop()
-
-    def end() -> None:
-        if reactor.running and not node.ended:
-            node.ended = True
-            reactor.stop()
+            end()
 
     reactor.callWhenRunning(start)
     reactor.callWhenRunning(signals.heard, reactor, node.reload, end)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -253,7 +253,7 @@
         worker.take()  # a probe that nobody answers
         manager.dial().send(b"PIN")
         watch.send(b"5\r\n{\"v")  # a line that has no end
-        manager.signal(signal.SIGTERM, signal.SIGTERM)
+        manager.signal(signal.SIGTERM, signal.SIGTERM, signal.SIGINT)
         manager.ends()
 
     def test_sighup_right_before_sigterm(self) -> None:
