A mass return binds its joiners before withdrawals that can wait no longer

Traced (each message and its time): of 1,270 joiners the last 106 had no binding at second 27, when withdrawals of two waves were pressed by the grace: 1,871 messages went out, the channel's queue rose over the room that joins may use, and the 106 were bound at 35 to 36. Excluded: levels and moves (none while joiners wait), the beat (slow 213 ms). At fault: Tables._withdraw, which let pressed withdrawals pass joiners with the same grace. They are bound first now, up to 1.6 times the usual room.

Both stories fail without their lines.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -63,15 +63,14 @@
 
     def __init__(self, channel: Channel, grace: int) -> None:
         self.gateways, self.pace = dict[Gateway, None](), channel.lines_per_s / SECOND
-        # The same by zone, those not yet bound, and the usual rates of each team: a fleet that joins at once
-        # cost a walk over all of it for each joiner.
+        # The same by zone, those not yet bound, usual rates by team: not counted anew at each joining.
         self._zones, self.unbound = dict[str, dict[Gateway, None]](), dict[Gateway, None]()
         self._teams = dict[tuple[str, int], float]()
         self.lines = Lines[Gateway](channel.head + 1)  # and its mark
         self._bound, self._travels = grace - channel.longest_way, channel.usual_way * self.pace
         # No closer than the cap's even pace, less three for its join and a late beat or two.
         self.beat = max(SECOND, channel.cap_span // max(1, (channel.message_cap or 999) - 3))
-        self._answered = (0, 0)  # the newest batch answered by the last two beats
+        self._answered, self.limit = (0, 0), 0.9 * channel.pending_max  # by the last two beats; out of turn
         self._short, self._capped = grace < self.beat + channel.longest_way, channel.message_cap > 0
         # Half the limit, as what can't be put off fits twice (rule 5), and no more than lets a withdrawal
         # behind it arrive within the grace (rule 3). What is on its way to the proxies waits no more.
@@ -430,10 +429,9 @@
         self._host, self._outbox, self._fleet, self._demand = host, outbox, fleet, demand
         self._levels, self._unit, self._zones = levels, unit, zones
         self._tables, self._debt, self._paid = dict[tuple[str, int], list[Table]](), 0.0, 0
-        self._planned = 0
         # What a table that sets none has anyway is not set: three of a joiner's seventeen lines (rule 3).
         self._unset = 0.0 if usual is not Retry.UNSENT else 1e6 if unit is LevelUnit.RATE else 1.0
-        self._split = dict[str, int]()
+        self._split, self._planned = dict[str, int](), 0
         eligible = [(product.models, product.zones, product.home_only) for product in products]
         self._groups = [[product for product, other in zip(products, eligible, strict=True) if other == kind]
                         for kind in dict.fromkeys(eligible)]
@@ -451,24 +449,23 @@
         gateway.team = min(range(self._teams(gateway.zone)),
                            key=lambda team: self._outbox.team(gateway.zone, team))
 
-    def join(self) -> None:
+    def join(self, part: float = 1.0) -> None:
         """Binds who has joined, as the channel drains: a fleet that joins at once would fill it (rule 5). Who
         joins together is planned for together: a table made for the first of them fits none."""
         ready, many = self._host.now() - SECOND // 32, Counter((g.zone, g.team) for g in self._outbox.unbound)
         for gateway in [g for g in self._outbox.unbound if g.joined_at <= ready]:
-            if not self._outbox.has_room([gateway]):
+            if not self._outbox.has_room([gateway], 1, part):
                 break  # nor for any other: planning for them would cost time and bind nobody
             key = gateway.zone, gateway.team
             if key not in self._tables or (not self._tables[key][0].gateways and self._planned < ready):
-                # Not planned of late: it could bind a joiner to no line (rule 1). Only tables that nobody
-                # holds change now: joiners that kept coming after a restart had all the others written at
-                # each of their turns, 13 messages to a proxy within the time of 12 (rule 5).
+                # Not planned of late: it could bind a joiner to no line (rule 1). The others stay: written at
+                # each turn of joiners after a restart, their proxies got 13 messages of 12 (rule 5).
                 self.refresh(False)
             for table in self._tables[key] if many[key] else ():
                 self._leave_out(table, many[key])
             many[key] = 0
             cost = sum(1 + len(table.lines) + len(table.gates) for table in self._tables[key])
-            if self._outbox.has_room([gateway], cost):
+            if self._outbox.has_room([gateway], cost, part):
                 del self._outbox.unbound[gateway]
                 gateway.tables = self._tables[key]
                 self._outbox.lines.add([gateway], cost)
@@ -477,9 +474,8 @@
                     self._host.bind(gateway, table.number, table.products)
 
     def _leave_out(self, table: Table, joiners: int) -> None:
-        """A line of a server that left, and its withdrawal, cost two lines at each joiner; one, and the head
-        of a message, to take out at each who is bound: bindings leave them out where that is less, for short
-        joins. With the heads forgotten a mass return was bound 5 s late (rule 3)."""
+        """A line of a server that left, and its withdrawal, cost two lines at each joiner; one and a head to
+        take out at each who is bound: bindings leave them out where that is less (rule 3)."""
         left = [server for server in table.lines if server.standing is Standing.LEFT]
         less = self._outbox.lines.price(table.gateways, len(left)) <= 2 * len(left) * joiners
         for server in left if less and len(left) < len(table.lines) else ():
@@ -509,17 +505,24 @@
                        and s.left_at < self._host.now() - 60 * SECOND and s not in named]:
             del self._fleet.servers[server]
 
+    def _holders(self, server: Server) -> Collection[Gateway]:
+        return dict.fromkeys(gateway for tables in self._tables.values() for table in tables
+                             if server in table.lines for gateway in table.gateways)
+
     def _withdraw(self) -> None:
         # A joiner heeds these withdrawals once it is bound, so binding goes before what can wait (rule 3).
         joining = bool(self._outbox.unbound)
         for server in [server for server in self._fleet.servers if server.standing is not server.told]:
-            holders = dict.fromkeys(gateway for tables in self._tables.values() for table in tables
-                                    if server in table.lines for gateway in table.gateways)
             # A sick one waits for room too, a release also for that of its weight's lines (rule 4).
+            holders = self._holders(server)
             urgent = server.standing is Standing.LEFT and server.told is Standing.SERVING
-            # Joiners heed it no sooner than they are bound, so they go first as long as it can wait (rule 3).
-            if urgent and joining and not self._outbox.presses(self._host.now() - server.left_at, holders):
-                continue
+            lines = self._outbox.lines.waiting + self._outbox.lines.price(holders)
+            if urgent and (joining or lines > self._outbox.limit):
+                if not self._outbox.presses(self._host.now() - server.left_at, holders):
+                    continue
+                if joining:  # before it, room or not: behind it they were bound after the grace
+                    self.join(1.6)
+                    joining, holders = False, self._holders(server)
             if urgent or self._outbox.has_room(holders, 3 if server.standing is Standing.SERVING else 1, 0.6):
                 self._host.hold_back(server, server.standing is not Standing.SERVING)
                 self._outbox.lines.add(holders)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -48,6 +48,45 @@
             ListKind.CHANGES, host.servers[0], state=Availability.DRAINING)))
         self.assertIn((host.servers[0], True), host.named("hold_back", host.run(2)))
 
+    def test_joiners_are_bound_before_withdrawals_that_can_wait_no_longer(self) -> None:
+        grace = replace(FakeHost().described["guarantee"], drain_grace=100_000)
+        host = FakeHost(servers=24, gateways=60, zones=("a",), cap=12, pending=900.0, guarantee=grace)
+        host.join(*host.gateways[:20])
+        host.run(20)
+        host.applies = False  # what joins now fills the channel
+        host.join(*host.gateways[20:])
+        host.run(1)
+        waiting = 60 - len(host.named("bind"))
+        self.assertGreater(waiting, 0)
+        host.roster(ListKind.CHANGES, *host.servers[:2], state=Availability.DRAINING)
+        orders: list[tuple[object, ...]] = []
+        for _ in range(10):
+            if not host.named("hold_back"):
+                orders = [*host.run(1)]
+        names = [name for name, *_ in orders if name in ("bind", "hold_back")]
+        self.assertEqual(names, ["bind"] * waiting + ["hold_back"] * 2)  # behind them they passed the grace
+
+    def test_withdrawals_of_a_long_release_stay_under_the_limit_of_a_channel_that_stands(self) -> None:
+        grace = replace(FakeHost().described["guarantee"], drain_grace=100_000)
+        host = FakeHost(servers=24, gateways=40, zones=("a",), cap=12, pending=900.0, guarantee=grace)
+        host.join(*host.gateways[:20])
+        host.run(20)
+        host.applies = False  # what joins now fills the channel
+        host.join(*host.gateways[20:])
+        host.run(1)
+        lines = 20 * (4 + 1 + len(host.lines(0)) + len(host.products))
+        for second in range(7):  # two more each second; written at each beat they pass the limit
+            for server in host.servers[2 * second:2 * second + 2]:
+                host.roster(ListKind.CHANGES, server, state=Availability.DRAINING)
+            if many := len(host.named("hold_back", host.run(1))):
+                lines += 40 * (4 + many // 2)  # each server is in one of the two teams' tables
+        self.assertLessEqual(lines, 900)  # longer than that the grace does not let them wait
+        before = len(host.named("hold_back"))
+        for gateway in host.gateways[:20]:  # theirs is lost with their streams
+            host.leave(gateway)
+        host.run(3)
+        self.assertGreater(len(host.named("hold_back")), before)
+
     def test_a_server_missing_from_a_whole_list_is_gone(self) -> None:
         host = FakeHost()
         host.join()
