--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -95,9 +95,12 @@
                 mean = round(1500 * self.slow.get(server, 1.0)) if voided < many else 0
                 if (place + turn) % span == 0:
                     came.append(Tries(server, server.zone, many, voided, span * SECOND, mean))
-            self.give(*came, *(event for at, event in self._due if at <= self.clock))
+            self.give(*came, *self.due())
         return self.orders[before:]
 
+    def due(self) -> list[Event]:
+        return [event for at, event in self._due if at <= self.clock]
+
     def named(self, name: str, orders: Sequence[tuple[Any, ...]] | None = None) -> Sequence[tuple[Any, ...]]:
         return [order[1:] for order in (self.orders if orders is None else orders) if order[0] == name]
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -48,6 +48,27 @@
             ListKind.CHANGES, host.servers[0], state=Availability.DRAINING)))
         self.assertIn((host.servers[0], True), host.named("hold_back", host.run(2)))
 
+    def test_withdrawals_of_many_servers_that_waited_arrive_within_the_grace_together(self) -> None:
+        grace = replace(FakeHost().described["guarantee"], drain_grace=100_000)
+        for phase in range(0, 11_000, 1_000):  # of the list's change to the beat
+            host = FakeHost(servers=24, gateways=240, zones=("a",), cap=12, pending=8000.0, guarantee=grace)
+            host.join(*host.gateways[:200])
+            host.run(20)
+            host.applies = False  # the channel stands, and joiners wait for room
+            host.join(*host.gateways[200:])
+            host.run(1)
+            outbox, host.manager._outbox._most = host.manager._outbox, 0.0
+            host.clock += phase
+            told = host.clock
+            host.roster(ListKind.CHANGES, *host.servers[:12], state=Availability.DRAINING)
+            host.join(host.gateways[0])
+            while not host.named("hold_back"):
+                host.clock += 500
+                host.give(*host.due())
+            self.assertEqual(len(host.named("hold_back")), 12)
+            arrives = host.clock - told + (outbox.lines.waiting - 300) / 0.15 + 5_000
+            self.assertLessEqual(arrives, 100_000, phase)
+
     def test_joiners_are_bound_before_withdrawals_that_can_wait_no_longer(self) -> None:
         grace = replace(FakeHost().described["guarantee"], drain_grace=100_000)
         host = FakeHost(servers=24, gateways=60, zones=("a",), cap=12, pending=900.0, guarantee=grace)
