--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -40,7 +40,7 @@
 )
 from rushladder.peers.bare import BareLink
 from rushladder.service.exchange import Prober
-from rushladder.service.node import Node, read_site
+from rushladder.service.node import Node, Wrong, read_site
 from rushladder.service.notes import KINDS, SAME_AGAIN, Notes
 from rushladder.streams.codec import (
     Ack,
@@ -677,6 +677,39 @@
         self.clock.advance(1)
         self.assertEqual(self.indexes()[-1], "5")
 
+    def test_a_list_that_stays_unreadable_is_asked_for_ever_slower(self) -> None:
+        """Discovery answers at once, each time with a line that can't be read. The wait between two requests
+        grows to a second; it stayed at 0.1 s, since each answer's first bytes set it back: 100 requests for
+        the whole list in ten seconds, from every manager at once, while discovery is in trouble anyway."""
+        for _ in range(200):
+            if not self.discovery.waiting[-1].called:
+                self.discovery.answer()
+                self.discovery.bodies[-1].dataReceived(b'{"version":4,"full":true,"serv\n')
+            self.clock.advance(0.05)
+        self.assertLess(len(self.discovery.asked), 20)  # 0.1 s doubled to 1 s, less the jitter
+        self.assertLessEqual(len(self.notes), len(self.discovery.asked))  # told once a wait
+
+    def test_a_good_list_with_a_bad_line_behind_it_is_asked_for_ever_slower_too(self) -> None:
+        for _ in range(200):
+            if not self.discovery.waiting[-1].called:
+                self.discovery.answer()
+                self.discovery.bodies[-1].dataReceived(listing(3, entry("a")) + b"\n")
+                self.discovery.bodies[-1].dataReceived(b'{"version":4,"full":true,"serv\n')
+            self.clock.advance(0.05)
+        self.assertLess(len(self.discovery.asked), 20)
+
+    def test_a_watch_that_went_well_is_dialled_again_at_once_after_its_end(self) -> None:
+        for _ in range(8):
+            self.discovery.waiting[-1].errback(OSError())
+            self.clock.advance(1)
+        self.discovery.answer()
+        self.discovery.bodies[-1].dataReceived(listing(3, entry("a")) + b"\n")
+        self.clock.advance(1.5)
+        self.discovery.bodies[-1].connectionLost()
+        before = len(self.discovery.asked)
+        self.clock.advance(0.1)
+        self.assertEqual(len(self.discovery.asked), before + 1)
+
 
 class BareWords(unittest.TestCase):
     def setUp(self) -> None:
@@ -798,12 +831,12 @@
 class NodeStories(unittest.TestCase):
     """The manager's own process without its process: a reactor in memory."""
 
-    def node(self, *workers: dict[str, Any]) -> tuple[Any, Any]:
+    def node(self, *workers: dict[str, Any], **limits: Any) -> tuple[Any, Any]:
         reactor: Any = MemoryReactorClock()
         story = ProcessStories()
         story.port = 9
         config = story.config(known=json.loads(listing(41, *workers)))
-        config["settings"]["limits"]["probes"] = True
+        config["settings"]["limits"] |= {"probes": True, **limits}
         with tempfile.TemporaryDirectory() as held:
             place = Path(held, "config.json")
             place.write_text(json.dumps(config))
@@ -829,6 +862,20 @@
             self.assertEqual([client[1] for client in reactor.tcpClients[1:]],
                              [int(changed["addr"].rpartition(":")[2])] if listed else [])
 
+    def test_a_wait_of_a_proxy_of_0_leaves_a_probe_time_to_dial(self) -> None:
+        """The settings say how long a proxy waits for a connection. Taken for a probe's own wait, a 0 gave
+        up each dial in the turn that began it, so that every worker that is not heard of looked dead."""
+        node, reactor = self.node(entry("s-0"), entry("s-1"), connect_timeout=0)
+        node._probe(node.workers.get("s-0"))
+        self.assertGreater(reactor.tcpClients[0][3], 0)
+        reactor.advance(0.05)
+        self.assertEqual(node._batch, [])
+
+    def test_a_wait_of_a_proxy_that_is_no_time_is_refused_by_name(self) -> None:
+        for wrong in (-1, float("nan"), "soon"):
+            with self.assertRaisesRegex(Wrong, "connect_timeout"):
+                self.node(entry("s-0"), connect_timeout=wrong)
+
     def test_one_that_waited_for_its_turn_is_probed_where_it_is_then(self) -> None:
         node, reactor = self.node(entry("s-0"), *(entry(f"s-{k}") for k in range(1, 80)))
         for k in range(80):
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -467,6 +467,33 @@
         manager.ends()
 
 
+class Withdrawals(Races):
+    """A proxy keeps what it was told to shut out over a change of streams, so whoever takes it over has to
+    let back what an earlier manager withdrew. A restarted manager knows nothing of that: sound workers stayed
+    shut out at hundreds of proxies for good, which shows in no figure of any manager."""
+
+    def test_a_worker_withdrawn_by_another_manager_is_let_back(self) -> None:
+        worker, names = Place(self), ("s-1", "s-2", "s-3")
+        workers = entry("s-0", worker.port), *map(entry, names)
+        manager, _, proxy = self.watching(*workers, probes=True)
+        collector = manager.dial()
+        collector.send(b"SOURCE zone=a\r\n")
+        shut_out = ""
+        while not shut_out:  # s-0 answers no probe, and nothing is heard of it
+            worker.take().sock.close()
+            collector.send("".join(f"LOAD zone=a server={name} tries=20 failed=0 mean_ms=50 span_ms=1000\r\n"
+                                   for name in names).encode())
+            if not proxy.quiet(0.2):
+                shut_out = (proxy.line() or "").partition("drop=s-0")[1]
+        manager.signal(signal.SIGTERM)
+        manager.ends()
+        worker.sock.settimeout(0.1)
+        self.discovery = Place(self)
+        taken_over = self.manager(*workers).serves().dial().join(3, fresh=0)  # without probes: s-0 is well
+        self.assertIn("s-0:", taken_over.until("rows="))
+        self.assertIn("s-0", taken_over.until("undrop=").partition("undrop=")[2])
+
+
 class Idle(Races):
     def test_strangers_at_the_edge_of_their_second(self) -> None:
         manager, _, _ = self.watching()
