Lines of the channel by purpose and what waits are measured; records leave the module

Need: the mass return breaks rules 3 and 5, and nothing told which lines fill the channel, how long the oldest joiner and the oldest withdrawal wait.

Change: `streams/account.py` counts lines and messages by purpose and works the queue out from the pace; the module tells its backlog. Both are in the periodic figures, and once a second in a trace that RUSHLADDER_TRACE switches on.

--- a/rushladder/benchlink/hosting.py
+++ b/rushladder/benchlink/hosting.py
@@ -8,7 +8,7 @@
 from typing import Any, BinaryIO, TypeVar
 
 from rushladder.benchlink.wire import ENTRY, WireError, message, read_fields, read_message
-from rushladder.brain import Gateway, Manager, Server
+from rushladder.brain import Manager
 from rushladder.conf.birth import PER_TENTH, Unfit, birth, tenths
 from rushladder.core.workers import Workers
 from rushladder.interface import (
@@ -34,6 +34,7 @@
     Tries,
     Worker,
 )
+from rushladder.records import Gateway, Server
 
 EVERY_TABLE = 65535
 EVERY_PEER = -1
--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -14,58 +14,23 @@
 from statistics import fmean, median_high
 
 from rushladder.interface import (
-    Applied, Arrivals, Availability, Channel, Event, Guarantee, Host, Joined, Learned, Left, LevelUnit,
-    Listing, ListKind, PeerWord, Probed, ProbeResult, Product, Proxy, Remembered, Reminder, Retry, Tries,
-    Worker,
+    Applied, Arrivals, Availability, Backlog, Channel, Event, Guarantee, Host, Joined, Learned, Left,
+    LevelUnit, Listing, ListKind, PeerWord, Probed, ProbeResult, Product, Remembered, Reminder, Retry, Tries,
 )
 from rushladder.lines import Lines
+from rushladder.records import SECOND, Gateway, Proxies, Server, Standing, Table
 from rushladder.ring import Ring
 
-SECOND = 10_000
-# LEFT: drains or is gone, withdrawn whatever tables name it; OUT: withdrawn as sick.
-Standing = Enum("Standing", "LEFT SERVING OUT")
 Sign = Enum("Sign", "LISTED STARTED LEAVING SICK SOUND REACHED")
 Load = Enum("Load", "CALM SHED")
 Heat = Enum("Heat", "HOT MILD COOL")
 
 
-class Server(Worker):
-    def __init__(self, name: str, zone: str, model: str, cell: int) -> None:
-        super().__init__(name, zone, model, cell)
-        self.size, self.standing, self.told = 1.0, Standing.LEFT, Standing.SERVING  # told: to the proxies
-        self.place = self.started_at = self.out_until = self.out_for = 0  # place: among its kind in its zone
-        self.left_at = 0  # when it was learned that it drains or is gone
-        self.forget()
-
-    def forget(self, factor: float = 1.0, heard: int = 0) -> None:
-        """Its record starts anew, with a part of its listed weight and so many reports taken as heard."""
-        self.factor, self.pace, self.heard, self.hint = factor, 1.0, float(heard), 1.0  # hint: of its reports
-        self.tries: dict[str, Ring] = {}  # by zone of the proxies
-        self.bad_probes = self.good_probes = 0
-
-    def seen(self, now: int, buckets: int) -> tuple[float, ...]:
-        """Tries, voided, settled, the settled ones' time, and how many settle a second."""
-        totals = [ring.total(now, buckets) for ring in self.tries.values()]
-        many, voided, settled, time = (sum(sums[k] for sums in totals) for k in range(4))
-        return many, voided, settled, time, sum(SECOND * sums[2] / sums[4] for sums in totals if sums[4])
-
-
-class Gateway(Proxy):
-    def begin(self, now: int, products: Sequence[Product]) -> None:
-        self.joined_at, self.team, self.tables = now, 0, list[Table]()
-        self.counted = self.usual_rate  # in its team's sum: the proxy may name another one as it comes again
-        self.came = {product: Ring(SECOND, 12, 2) for product in products}  # many, time covered
-        self.rates, self.rated = dict[Product, float](), (-1, 0)  # when they were worked out
-
-
 class Outbox:
     """The proxies joined, what waits in the channel to them, and the pace of messages, for rule 5."""
 
     def __init__(self, channel: Channel, grace: int) -> None:
-        self.gateways, self.pace = dict[Gateway, None](), channel.lines_per_s / SECOND
-        # The same by zone, those not yet bound, usual rates by team: not counted anew at each joining.
-        self._zones, self.unbound = dict[str, dict[Gateway, None]](), dict[Gateway, None]()
-        self._teams = dict[tuple[str, int], float]()
+        self.proxies, self.pace = Proxies(), channel.lines_per_s / SECOND
         self.lines = Lines[Gateway](channel.head + 1)  # and its mark
         self._bound, self._travels = grace - channel.longest_way, channel.usual_way * self.pace
         # No closer than the cap's even pace, less three for its join and a late beat or two.
@@ -88,20 +53,9 @@
         """Whether a change of the list is told as it comes. A message is mostly its head: where one to each
         proxy takes a quarter of the channel's second, as a release may change the list each second,
         withdrawals ride on the beat's messages (rules 3 and 5)."""
-        heads = self.lines.price(self.gateways, 0)
+        heads = self.lines.price(self.proxies.joined, 0)
         return self._short or not (self._capped or heads > 0.25 * SECOND * self.pace)
 
-    def joined(self, zone: str) -> Collection[Gateway]:
-        return self._zones.get(zone, ())
-
-    def team(self, zone: str, team: int) -> float:
-        return self._teams.get((zone, team), 0.0)
-
-    def join(self, gateway: Gateway) -> None:
-        self.gateways[gateway] = self.unbound[gateway] = None
-        self._zones.setdefault(gateway.zone, {})[gateway] = None
-        self._teams[gateway.zone, gateway.team] = self.team(gateway.zone, gateway.team) + gateway.counted
-
     def has_room(self, gateways: Collection[Gateway], count: float = 1, part: float = 1.0) -> bool:
         """Whether `count` lines to each may be sent. Lines drain when a proxy says it applied them."""
         waiting = self.lines.waiting + self.lines.price(gateways, count)
@@ -115,11 +69,7 @@
 
     def left(self, gateway: Gateway) -> None:
         self.lines.left(gateway)
-        self.unbound.pop(gateway, None)
-        self._teams[gateway.zone, gateway.team] -= gateway.counted
-        for holders in (self.gateways, self._zones[gateway.zone],
-                        *(table.gateways for table in gateway.tables)):
-            del holders[gateway]
+        self.proxies.leave(gateway)
 
 
 class Fleet:
@@ -270,7 +220,7 @@
         self.mix = {p: (not p.models) / (sum(not q.models for q in products) or 1) for p in products}
 
     def arrivals(self, event: Arrivals[Gateway]) -> None:
-        if event.proxy in self._outbox.gateways:
+        if event.proxy in self._outbox.proxies.joined:
             event.proxy.came[event.product].add(self._host.now(), event.many, event.covers)
             event.proxy.rated = -1, 0
             self._covers += 0.02 * (event.covers - self._covers)
@@ -298,7 +248,7 @@
     def period(self) -> None:
         """The design's smoothing: alpha 0.3, and 5 s in which a departed proxy's demand still counts."""
         self._departed = [left for left in self._departed if left[0] >= self._host.now() - 5 * SECOND]
-        own = [self.rates(gateway) for gateway in self._outbox.gateways]
+        own = [self.rates(gateway) for gateway in self._outbox.proxies.joined]
         for place, product in enumerate(self._products):
             now = self.now[product] = (sum(rates[product] for rates in own)
                                        + sum(rates[place] for _, rates in self._departed))
@@ -319,7 +269,8 @@
         return [rates for at, rates in self._told.values() if at > self._host.now() - 3 * SECOND]
 
     def own(self) -> dict[tuple[str, Product], float]:
-        own = {zone: [self.rates(gateway) for gateway in self._outbox.joined(zone)] for zone, _ in self._keys}
+        own = {zone: [self.rates(gateway) for gateway in self._outbox.proxies.of_zone(zone)]
+               for zone, _ in self._keys}
         return {(zone, product): sum(rates[product] for rates in own[zone]) for zone, product in self._keys}
 
     def away(self) -> dict[tuple[str, Product], float]:
@@ -348,7 +299,7 @@
                        for buckets in (1 + self._demand.cycle(), 2))
         self._settled = sum(sums[4] for sums in whole)
         # The design's scaling by own proxies: one that comes or goes takes its part of the budget along.
-        before, self._usual = self._usual, sum(gateway.usual_rate for gateway in self._outbox.gateways)
+        before, self._usual = self._usual, sum(gateway.usual_rate for gateway in self._outbox.proxies.joined)
         self._since = self._since if before else now
         part = self._usual / before if before else 1.0
         self._budget, self._best = part * self._budget, part * self._best
@@ -412,15 +363,6 @@
 }
 
 
-class Table:
-    """One shared table: the products of like eligibility from the proxies of one team of a zone."""
-
-    def __init__(self, number: int, zone: str, team: int, products: Sequence[Product]) -> None:
-        self.number, self.zone, self.team, self.products = number, zone, team, products
-        self.gateways, self.gates = dict[Gateway, None](), dict[Product, float]()
-        self.want, self.wanted, self.lines = 0.0, dict[Server, float](), dict[Server, float]()
-
-
 class Tables:
     """What stands in the shared tables, and when changes go out."""
 
@@ -447,13 +389,14 @@
 
     def assign(self, gateway: Gateway) -> None:
         gateway.team = min(range(self._teams(gateway.zone)),
-                           key=lambda team: self._outbox.team(gateway.zone, team))
+                           key=lambda team: self._outbox.proxies.usual_rate(gateway.zone, team))
 
     def join(self, part: float = 1.0) -> None:
         """Binds who has joined, as the channel drains: a fleet that joins at once would fill it (rule 5). Who
         joins together is planned for together: a table made for the first of them fits none."""
-        ready, many = self._host.now() - SECOND // 32, Counter((g.zone, g.team) for g in self._outbox.unbound)
-        for gateway in [g for g in self._outbox.unbound if g.joined_at <= ready]:
+        unbound, ready = self._outbox.proxies.unbound, self._host.now() - SECOND // 32
+        many = Counter((gateway.zone, gateway.team) for gateway in unbound)
+        for gateway in [gateway for gateway in unbound if gateway.joined_at <= ready]:
             if not self._outbox.has_room([gateway], 1, part):
                 break  # nor for any other: planning for them would cost time and bind nobody
             key = gateway.zone, gateway.team
@@ -466,7 +409,7 @@
             many[key] = 0
             cost = sum(1 + len(table.lines) + len(table.gates) for table in self._tables[key])
             if self._outbox.has_room([gateway], cost, part):
-                del self._outbox.unbound[gateway]
+                del unbound[gateway]
                 gateway.tables = self._tables[key]
                 self._outbox.lines.add([gateway], cost)
                 for table in gateway.tables:
@@ -487,7 +430,7 @@
         """Plans, and sends what differs; held: also of tables that proxies hold, which takes messages."""
         # Those dealt out while a zone had more teams keep theirs: they came before it was planned for.
         for key in [*((zone, team) for zone in self._zones for team in range(self._teams(zone))),
-                    *((gateway.zone, gateway.team) for gateway in self._outbox.unbound)]:
+                    *((gateway.zone, gateway.team) for gateway in self._outbox.proxies.unbound)]:
             self._tables.setdefault(key, [Table(len(self._tables) * len(self._groups) + k, *key, group)
                                           for k, group in enumerate(self._groups)])
         self._planned = self._host.now()
@@ -511,7 +454,7 @@
 
     def _withdraw(self) -> None:
         # A joiner heeds these withdrawals once it is bound, so binding goes before what can wait (rule 3).
-        joining = bool(self._outbox.unbound)
+        joining = bool(self._outbox.proxies.unbound)
         for server in [server for server in self._fleet.servers if server.standing is not server.told]:
             # A sick one waits for room too, a release also for that of its weight's lines (rule 4).
             holders = self._holders(server)
@@ -545,7 +488,7 @@
                for tables in self._tables.values() for table in tables}
         tables = sorted(may, key=lambda table: len(may[table]))  # those with the fewest servers choose first
         crews = {key: list[Gateway]() for key in self._tables}
-        for gateway in self._outbox.gateways:
+        for gateway in self._outbox.proxies.joined:
             crews[gateway.zone, gateway.team].append(gateway)
         for table in tables:
             members = crews[table.zone, table.team]
@@ -676,6 +619,14 @@
         if handler := self._handlers.get(type(event)):
             handler(event)
 
+    def backlog(self) -> Backlog:
+        """For figures and traces."""
+        now, unbound = self._host.now(), self._outbox.proxies.unbound
+        left = [server.left_at for server in self._fleet.servers
+                if server.standing is Standing.LEFT and server.told is Standing.SERVING]
+        return Backlog(len(unbound), next((now - gateway.joined_at for gateway in unbound), 0),
+                       max((now - left_at for left_at in left), default=0), round(self._outbox.lines.waiting))
+
     def learned(self) -> Remembered[Server]:
         """What is worth keeping over a restart."""
         return Remembered(self._fleet.learned(), self._levels.quiet, dict(self._demand.mix))
@@ -717,11 +668,11 @@
         self._left(Left(gateway))  # it may come again before its break was noticed
         gateway.begin(self._host.now(), self._products)
         self._tables.assign(gateway)
-        self._outbox.join(gateway)
+        self._outbox.proxies.join(gateway)
         self._fleet.reached(gateway.zone)  # a zone withdrawn as cut off serves its own proxies at once
         self._host.wake(SECOND // 32, self.BIND)  # by then those that join together have joined
 
     def _left(self, event: Left[Gateway]) -> None:
-        if event.proxy in self._outbox.gateways:
+        if event.proxy in self._outbox.proxies.joined:
             self._demand.left(event.proxy)
             self._outbox.left(event.proxy)
--- a/rushladder/catalog/reader.py
+++ b/rushladder/catalog/reader.py
@@ -14,9 +14,9 @@
 
 import attrs
 
-from rushladder.brain import Server
 from rushladder.core.workers import Workers
 from rushladder.interface import Availability, Entry, Listing, ListKind
+from rushladder.records import Server
 
 STATES = {"ready": Availability.READY, "draining": Availability.DRAINING, "gone": Availability.GONE}
 MOST = 10_000  # workers: ten times the largest deployment wished for
--- a/rushladder/core/host.py
+++ b/rushladder/core/host.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from rushladder.brain import Gateway, Manager, Server
+from rushladder.brain import Manager
 from rushladder.core.pace import Pace
 from rushladder.core.reminders import Reminders
 from rushladder.core.roster import Roster
@@ -38,6 +38,7 @@
     Retry,
     Worker,
 )
+from rushladder.records import Gateway, Server
 from rushladder.runtime.grammar import Command
 
 LEVELS_MAP, RETRIES_MAP = "levels", "retries"
--- a/rushladder/core/reports.py
+++ b/rushladder/core/reports.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 
-from rushladder.brain import Gateway, Server
+from rushladder.records import Gateway, Server
 from rushladder.gateways.meter import Met
 from rushladder.guard.waves import Arm
 from rushladder.interface import Arrivals, Event, Product, Tries
--- a/rushladder/core/roster.py
+++ b/rushladder/core/roster.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from rushladder.brain import Server
 from rushladder.interface import Availability, Entry, Listing, ListKind
+from rushladder.records import Server
 
 MOST = 10_000  # collectors: ten times the largest deployment wished for
 HEADER = "# rushladder list 1"
--- a/rushladder/core/workers.py
+++ b/rushladder/core/workers.py
@@ -4,8 +4,8 @@
 
 from weakref import WeakValueDictionary
 
-from rushladder.brain import Server
 from rushladder.interface import Availability, Entry
+from rushladder.records import Server
 
 
 class Workers:
--- a/rushladder/dnsfront/front.py
+++ b/rushladder/dnsfront/front.py
@@ -12,7 +12,6 @@
 
 import attrs
 
-from rushladder.brain import Gateway
 from rushladder.conf.objects import DnsSite
 from rushladder.core.host import LEVELS_MAP, Core, Port
 from rushladder.dnsfront import cookies, wire
@@ -26,6 +25,7 @@
 from rushladder.dnsfront.zone import Kind, Place, Zone
 from rushladder.gateways.difference import Admin, Held, applied
 from rushladder.interface import Arrivals, Availability, Event, Joined, Product, Repeat
+from rushladder.records import Gateway
 from rushladder.timing import Call, Clock, tenths
 
 SECOND = 10_000
--- a/rushladder/gateways/driver.py
+++ b/rushladder/gateways/driver.py
@@ -16,13 +16,13 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from rushladder.brain import Gateway, Server
 from rushladder.core.host import LEVELS_MAP, RETRIES_MAP, Core, Message, Port
 from rushladder.core.reports import Reports
 from rushladder.gateways.difference import Held, applied, map_commands, read_lines, read_map
 from rushladder.gateways.holding import Effect, Holding, Stand, Word, read_word
-from rushladder.gateways.meter import Birth, Meter, Met
+from rushladder.gateways.meter import Birth, Met, Meter
 from rushladder.interface import Event, Joined, Left, Product
+from rushladder.records import Gateway, Server
 from rushladder.runtime.endpoint import RuntimeClient, Silent
 from rushladder.runtime.grammar import Command, fields
 from rushladder.timing import TENTHS, Call, Clock, tenths
--- a/rushladder/interface.py
+++ b/rushladder/interface.py
@@ -301,3 +301,13 @@
     def wake(self, after: int, token: int) -> None: ...
 
     def log(self, words: str) -> None: ...
+
+
+@dataclass(frozen=True)
+class Backlog:
+    """What a manager still has to order. Times: tenths of a millisecond that the oldest has waited, or 0."""
+
+    unbound: int  # proxies that joined and are not bound
+    joiner_waited: int
+    withdrawal_waited: int
+    lines: int  # ordered, and not known to be applied
--- a/rushladder/service/manager.py
+++ b/rushladder/service/manager.py
@@ -13,7 +13,6 @@
 import attrs
 from twisted.internet.defer import Deferred
 
-from rushladder.brain import Gateway, Server
 from rushladder.conf.objects import GatewaySite, Plan
 from rushladder.core.host import Core
 from rushladder.core.reports import Reports
@@ -24,6 +23,7 @@
 from rushladder.guard.waves import Effect
 from rushladder.intake.desk import Desk
 from rushladder.interface import Event, Listing, PeerWord, Probed, ProbeResult
+from rushladder.records import Gateway, Server
 from rushladder.runtime.endpoint import RuntimeClient
 from rushladder.service.remembering import Remembering
 from rushladder.store.commands import Journal
--- a/rushladder/service/node.py
+++ b/rushladder/service/node.py
@@ -23,7 +23,6 @@
 from twisted.logger import ILogObserver, LogLevel, globalLogBeginner
 from zope.interface import provider
 
-from rushladder.brain import Server
 from rushladder.catalog.reader import Catalog, Faulty
 from rushladder.catalog.watch import Watch
 from rushladder.conf.birth import Unfit, birth
@@ -31,6 +30,7 @@
 from rushladder.core.workers import Workers
 from rushladder.interface import Event, PeerWord, Probed, ProbeResult
 from rushladder.peers.bare import BareLink, Place
+from rushladder.records import Server
 from rushladder.service.exchange import Prober
 from rushladder.service.logs import make_log
 from rushladder.service.notes import Notes
@@ -52,6 +52,7 @@
 # then after doubled waits, 1.5 s in all; one that stays faulty waits for the next SIGHUP.
 RELOAD_AGAIN, RELOADS = 0.1, 5
 PERIOD = 10.0  # s between two lines of figures in the log
+TRACE, TRACE_PERIOD = "RUSHLADDER_TRACE", 1.0  # if set: a line on the channel so often, in s
 HEALTH, REPORT = "/ping", "/_load"
 AT_RELOAD = frozenset({"discovery", "known", "seed"})  # what may differ in a configuration that is read again
 
@@ -157,6 +158,8 @@
         self.notes = Notes(log, reactor)
         self._batch, self._turn, self._wake = list[Event](), False, None  # type: list[Event], bool, Any
         self._late = self._slow = 0.0
+        self._waited = [0, 0]  # the longest that a joiner and a withdrawal waited, in tenths of a millisecond
+        self._traced = bool(os.environ.get(TRACE))
         self.ended = False
         # Not the module's own draws: its chance depends on its events alone.
         draw = Random(site.seed ^ 0x5EED).random
@@ -191,6 +194,8 @@
             self._reactor.listenUDP(site.peer_listen[1], self.words, interface=site.peer_listen[0])
         self.watch.start()
         self._figures()
+        if self._traced:
+            self._trace()
         # All proxies may dial at once; past the kernel's own bound a larger figure changes nothing.
         self._reactor.listenTCP(site.listen[1], self.front, backlog=max(1024, 2 * site.proxies),
                                 interface=site.listen[0])
@@ -221,6 +226,9 @@
         due = self.host.next()
         if due is not None:
             self._late = max(self._late, (self.now() - due) / TENTHS)
+        backlog = self.host.manager.backlog()
+        self._waited = [max(self._waited[0], backlog.joiner_waited),
+                        max(self._waited[1], backlog.withdrawal_waited)]
         self._close()
 
     def _take(self, batch: list[Event]) -> None:
@@ -291,9 +299,25 @@
             version=self.catalog.version, listed=len(self.catalog.known), workers=len(self.workers),
             list_age=round(self._reactor.seconds() - self.watch.heard_at, 1), descriptors=_descriptors(),
             rss_mb=_rss_mb(), late_ms=round(1000 * self._late), slow_ms=round(1000 * self._slow),
-            lines=self.host.lines, messages=self.host.messages, faults=self.notes.totals())
+            lines=self.host.lines, messages=self.host.messages, faults=self.notes.totals(),
+            **({} if self._traced else self._channel()))
         self._late = self._slow = 0.0
 
+    def _channel(self) -> dict[str, Any]:
+        """What was written since these figures were last taken, by purpose, and what waits."""
+        written, backlog = self.host.account.take(self.now()), self.host.manager.backlog()
+        joiner, withdrawal = self._waited
+        self._waited = [0, 0]
+        return {
+            "written": dict(written.lines), "heads": written.messages, "queue": written.queue,
+            "queue_most": written.queue_most, "counted": backlog.lines, "unbound": backlog.unbound,
+            "joiner_ms": max(joiner, backlog.joiner_waited) // 10,
+            "withdrawal_ms": max(withdrawal, backlog.withdrawal_waited) // 10}
+
+    def _trace(self) -> None:
+        self._reactor.callLater(TRACE_PERIOD, self._trace)
+        self._log.info("channel", **self._channel())
+
 
 class Signals:
     """SIGHUP and SIGTERM from the process's first line on. By default the one would kill a manager that is
--- a/rushladder/streams/host.py
+++ b/rushladder/streams/host.py
@@ -12,9 +12,11 @@
 from typing import Any, Protocol
 from weakref import WeakSet
 
-from rushladder.brain import Gateway, Manager, Server
+from rushladder.brain import Manager
 from rushladder.core.reminders import Reminders
 from rushladder.interface import Channel, Event, Joined, Left, Product, Proxy, Retry, Worker
+from rushladder.records import Gateway, Server
+from rushladder.streams.account import ChannelAccount, Purpose
 from rushladder.streams.codec import MARKS, PARTS, config, whole
 
 # Beside the time over which messages to one proxy are counted: ours are stamped when they are written, the
@@ -78,6 +80,7 @@
         self.lines = self.messages = 0  # written, as the protocol counts them
         # When each proxy was last written, as often as the cap allows; and who waits for its turn until when.
         channel: Channel = described["channel"]
+        self.account = ChannelAccount(channel.lines_per_s, channel.head)
         self._cap, self._span = channel.message_cap, channel.cap_span + CAP_MARGIN
         self._written, self._held = dict[int, deque[int]](), dict[Port, int]()
         self._texts = dict[Any, str]()  # parts of this batch's messages: most go to all streams of a table
@@ -184,7 +187,8 @@
         drop = sorted(server.name for server in port.heed if server in self._withdrawn)
         undrop = sorted(server.name for server in port.heed if server not in self._withdrawn)
         parts = [config(drop=drop, undrop=undrop)] if drop or undrop else []
-        count = len(drop) + len(undrop) + (port.mark is not None)
+        written = {Purpose.WITHDRAWAL: len(drop) + len(undrop), Purpose.MARK: int(port.mark is not None),
+                   Purpose.BINDING: 0, Purpose.WEIGHT: 0, Purpose.LEVEL: 0}
         for table in dict.fromkeys((*port.rebind, *port.rows, *port.gates)):
             products = [product for product in self.products if port.bound.get(product) is table]
             names, anew = [product.name for product in products], table in port.rebind
@@ -203,11 +207,14 @@
                                             own if not place else None))
             parts += [config([product.name for product in some], gate=level)
                       for level, some in levels.items() if level != own]
-            count += anew + len(rows) + sum(map(len, levels.values()))
+            written[Purpose.BINDING if anew else Purpose.WEIGHT] += anew + len(rows)
+            written[Purpose.BINDING if anew else Purpose.LEVEL] += sum(map(len, levels.values()))
         assert len(parts) <= PARTS
         if port.mark is not None:
             parts = [*parts[:-1], (parts[-1] if parts else config()) + f" stamp={port.mark}"]
-        self.lines += count
+        self.lines += sum(written.values())
+        if parts:
+            self.account.written(self._now, written)
         return whole(parts)
 
     def _text(self, table: Tbl, names: Sequence[str], anew: bool, servers: Sequence[Server],
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from typing import Any
 
-from rushladder.brain import Gateway, Manager, Server
+from rushladder.brain import Manager
 from rushladder.interface import (
     Applied,
     Arrivals,
@@ -27,6 +27,7 @@
     Tries,
     Worker,
 )
+from rushladder.records import Gateway, Server
 
 SECOND = 10_000
 ASK = Product("ask", 5_000, 20_000, 1.0, 0.1, Repeat.INQUIRY_LIKE, "all", 50_000)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -4,8 +4,8 @@
 import unittest
 from dataclasses import replace
 
-from rushladder.brain import Server
 from rushladder.interface import Availability, LevelUnit, ListKind, PeerWord, Retry
+from rushladder.records import Server
 from tests.fakehost import ASK, PAY, FakeHost
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -42,6 +42,7 @@
 from rushladder.service.exchange import Prober
 from rushladder.service.node import Node, Wrong, read_site
 from rushladder.service.notes import KINDS, SAME_AGAIN, Notes
+from rushladder.streams.account import ChannelAccount, Purpose
 from rushladder.streams.codec import (
     Ack,
     Load,
@@ -410,6 +411,18 @@
         self.assertTrue(all(len(line) < 1 << 20 for line in lines))
 
 
+class AccountStories(unittest.TestCase):
+    def test_what_waits_is_what_was_written_less_what_the_pace_has_carried(self) -> None:
+        account = ChannelAccount(1000.0, 3.0)
+        for _ in range(10):
+            account.written(0, {Purpose.BINDING: 16, Purpose.MARK: 1})
+        self.assertEqual(account.queue(SECOND // 10), 100)
+        figures = account.take(SECOND)
+        self.assertEqual((figures.lines, figures.messages, figures.queue, figures.queue_most),
+                         ({"head": 30, "binding": 160, "mark": 10}, 10, 0, 200))
+        self.assertEqual(account.take(SECOND).lines, {})
+
+
 class CapStories(unittest.TestCase):
     """A cap of twelve messages to a proxy in ten seconds, as the settings may have it."""
 
