An unreadable list is asked for ever more slowly: the wait ends with a watch that goes well

Seen by callers: every manager asks discovery for the whole list some ten times a second as long as a line of it can't be read, while discovery is in trouble.

Cause: `Watch._heard` set `_failures` to 0 with the answer's head and each piece of its body, before a line had been read, so the wait never grew past 0.1 s.

Change: `_failures` begins anew only where all that came could be read for a second; one `list.faulty` an answer. Why it holds: no byte that a discovery in trouble can say sets the wait back; a watch that went well is dialled again within 0.1 s as before.

--- a/rushladder/catalog/watch.py
+++ b/rushladder/catalog/watch.py
@@ -13,7 +13,7 @@
 from rushladder.timing import Clock
 
 SILENT = 3.0  # s without a byte until it is dialled again: an empty line is due every 2 s
-AGAIN_FIRST, AGAIN_MOST = 0.05, 1.0  # s until it is dialled again, doubled each time without a word
+AGAIN_FIRST, AGAIN_MOST = 0.05, 1.0  # s until it is dialled again, doubled until a watch went well
 LINE_MOST = 4 << 20  # bytes of one line: some 10,000 workers
 PATH = "/catalog/members?stream=1&index="
 
@@ -53,6 +53,9 @@
         self._failures, self._turn, self.heard_at = 0, 0, clock.seconds()
         self._former: _Body | None = None  # at the place before, until the new one answers
         self._whole = False  # something could not be read: the whole list is wanted
+        # Since when all that came could be read, in seconds; None: not yet. A first byte is no proof: with it
+        # the wait began anew, and a list that stays unreadable was asked for whole ten times a second.
+        self._well_since: float | None = None
 
     def start(self) -> None:
         self._turn += 1
@@ -86,7 +89,8 @@
             closing.stop()
             return None
         self._leave()
-        self._body, self._whole = _Body(self), False
+        self._body = _Body(self)
+        self._well_since = None if self._whole else self._clock.seconds()
         self._heard()
         response.deliverBody(self._body)
         return True
@@ -96,20 +100,25 @@
             self._heard()
         elif body is not self._former:
             return
-        faulty = False
+        faults = list[str]()
         for line in lines:
             try:
                 listing = self._catalog.line(line)
             except Faulty as trouble:
-                self.note("list.faulty", str(trouble))
-                faulty = True
+                faults.append(str(trouble))
                 continue
             if listing is not None:
                 self._give(listing)
-        if faulty and body is self._body:
+        if faults:
+            self.note("list.faulty", faults[0])
+        if body is not self._body:
+            return
+        if faults:
             # The next good line would count as the newest, and what this one told would never be heard.
-            self._whole = True
+            self._whole, self._well_since = True, None
             self._again(self._turn)
+        elif self._whole and any(line.strip() for line in lines):
+            self._whole, self._well_since = False, self._clock.seconds()
 
     def ended(self, body: _Body) -> None:
         if body is self._former:
@@ -123,7 +132,7 @@
             former.stop()
 
     def _heard(self) -> None:
-        self._failures, self.heard_at = 0, self._clock.seconds()
+        self.heard_at = self._clock.seconds()
         self._set(SILENT, self._silent)
 
     def _silent(self) -> None:
@@ -135,6 +144,9 @@
         if turn != self._turn:
             return
         self._close()
+        well_since, self._well_since = self._well_since, None
+        if well_since is not None and self._clock.seconds() >= well_since + AGAIN_MOST:
+            self._failures = 0
         self._failures += 1
         wait = min(AGAIN_MOST, AGAIN_FIRST * 2 ** min(self._failures, 10)) * (0.5 + 0.5 * self._draw())
         self._set(wait, self.start)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -692,8 +692,9 @@
 
     def test_a_list_that_stays_unreadable_is_asked_for_ever_slower(self) -> None:
         """Discovery answers at once, each time with a line that can't be read. The wait between two requests
-        grows to a second; it stayed at 0.1 s, since each answer's first bytes set it back: 100 requests for
-        the whole list in ten seconds, from every manager at once, while discovery is in trouble anyway."""
+        grows to a second; it stayed at 0.1 s, since each answer's first bytes set it back (`Watch._heard` set
+        `_failures` to 0 before a line was read): 101 requests for the whole list in these ten seconds, from
+        every manager at once, while discovery is in trouble anyway. The log showed one `list.faulty` a try."""
         for _ in range(200):
             if not self.discovery.waiting[-1].called:
                 self.discovery.answer()
@@ -703,6 +704,7 @@
         self.assertLessEqual(len(self.notes), len(self.discovery.asked))  # told once a wait
 
     def test_a_good_list_with_a_bad_line_behind_it_is_asked_for_ever_slower_too(self) -> None:
+        """A good line alone proves little: the wait begins anew once a watch went well for a second."""
         for _ in range(200):
             if not self.discovery.waiting[-1].called:
                 self.discovery.answer()
