A connect_timeout of 0 leaves probes their own wait; one that is no time is refused by name

Seen by callers: with `limits.connect_timeout` = 0 in the settings each probe fails at once, and workers of which nothing is heard are withdrawn though they are well; -1, NaN or text started a manager that can't probe.

Cause: `node._site` took a proxy's wait for a connection as the probe's dial limit as it stood; the story saw `timeout=0.0` at the dial.

Why it holds: the dial's limit is now above 0 whatever the settings say.

--- a/rushladder/service/node.py
+++ b/rushladder/service/node.py
@@ -14,6 +14,7 @@
 import sys
 import time
 from collections.abc import Callable, Mapping
+from math import inf
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -111,6 +112,19 @@
     return _site(raw, environment)
 
 
+def _connect_within(micros: Any) -> float:
+    """Seconds that a probe's dial may take. A worker that a proxy would not wait for is of no use, so a
+    proxy's wait is ours too; a proxy's wait of 0 says nothing, and taken for ours it would give up each dial
+    at once. Raises Wrong."""
+    try:
+        seconds = float(micros) / 1e6
+    except (TypeError, ValueError):
+        seconds = -1.0
+    if not 0 <= seconds < inf:
+        raise Wrong("settings limits.connect_timeout should be microseconds, 0 or more")
+    return seconds or CONNECT_MOST
+
+
 def _site(raw: Mapping[str, Any], environment: Mapping[str, str]) -> Site:
     settings, limits = raw.get("settings"), raw.get("limits", {})
     if not isinstance(settings, dict) or not isinstance(limits, dict):
@@ -119,7 +133,7 @@
         described = birth(settings)
         me, proxies = int(settings["me"]), int(settings["family_info"]["proxies"])
         reporting = settings.get("reporting", {})
-        connect = float(settings["limits"].get("connect_timeout", CONNECT_MOST * 1e6)) / 1e6
+        connect_timeout = settings["limits"].get("connect_timeout", 0)
         report, fields = str(reporting.get("how", "silent")), frozenset(map(str, reporting.get("fields", ())))
     except Unfit as trouble:
         raise Wrong(f"settings {trouble}") from None
@@ -143,7 +157,8 @@
         peer_listen=_place(raw["peer_listen"], "peer_listen") if raw.get("peer_listen") else None,
         peers=tuple(_place(peer, "peers") for peer in peers),
         peers_all=_place(raw["peers_all"], "peers_all") if raw.get("peers_all") else None,
-        known=raw.get("known"), described=described, report=report, reported=fields, connect=connect,
+        known=raw.get("known"), described=described, report=report, reported=fields,
+        connect=_connect_within(connect_timeout),
         given={name: value for name, value in raw.items() if name not in AT_RELOAD})
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -692,9 +692,10 @@
 
     def test_a_list_that_stays_unreadable_is_asked_for_ever_slower(self) -> None:
         """Discovery answers at once, each time with a line that can't be read. The wait between two requests
-        grows to a second; it stayed at 0.1 s, since each answer's first bytes set it back (`Watch._heard` set
-        `_failures` to 0 before a line was read): 101 requests for the whole list in these ten seconds, from
-        every manager at once, while discovery is in trouble anyway. The log showed one `list.faulty` a try."""
+        grows to a second; it stayed at 0.1 s, since each answer's first bytes set it back (`Watch._heard`
+        set `_failures` to 0 before a line was read): 101 requests for the whole list in these ten seconds,
+        from every manager at once, while discovery is in trouble anyway. One `list.faulty` was logged a
+        try."""
         for _ in range(200):
             if not self.discovery.waiting[-1].called:
                 self.discovery.answer()
@@ -879,7 +880,8 @@
 
     def test_a_wait_of_a_proxy_of_0_leaves_a_probe_time_to_dial(self) -> None:
         """The settings say how long a proxy waits for a connection. Taken for a probe's own wait, a 0 gave
-        up each dial in the turn that began it, so that every worker that is not heard of looked dead."""
+        up each dial in the turn that began it (seen: `timeout=0.0` at the dial), so that every worker that is
+        not heard of looked dead. A proxy's wait of none says nothing of probes: they keep their own."""
         node, reactor = self.node(entry("s-0"), entry("s-1"), connect_timeout=0)
         node._probe(node.workers.get("s-0"))
         self.assertGreater(reactor.tcpClients[0][3], 0)
