A channel without a pace is refused at the start by name

Need: looking for more settings where 0 means nothing, `egress_per_s` of 0 was taken, and the module's first batch ended in a ZeroDivisionError.

Change: `conf/birth.py`, which both roads read, refuses 0, below 0 and infinite with a line that names the field.

Result: the story fails without the check and passes with it.

--- a/rushladder/conf/birth.py
+++ b/rushladder/conf/birth.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from math import inf
 from typing import Any
 
 from rushladder.interface import Channel, Guarantee, LevelUnit, Product, Repeat, Retry
@@ -41,7 +42,7 @@
         "zones": tuple(str(zone) for zone in boot["azs"]),
         "products": _products(boot["lanes"], fam),
         "channel": Channel(
-            lines_per_s=float(fam["egress_per_s"]), pending_max=float(fam["pending_max"]),
+            lines_per_s=_above_0(fam, "egress_per_s"), pending_max=float(fam["pending_max"]),
             head=float(fam["head"]), message_cap=int(fam.get("update_cap", 0)),
             cap_span=tenths(fam.get("counted_over", 0)), usual_way=tenths(fam["propagation"]),
             longest_way=tenths(fam["push_delay_max"])),
@@ -59,6 +60,14 @@
     }
 
 
+def _above_0(fam: Mapping[str, Any], field: str) -> float:
+    """A figure that is divided by: 0 would end the first batch in a traceback. Raises Unfit."""
+    value = float(fam[field])
+    if not 0 < value < inf:
+        raise Unfit(f"family_info.{field} should be above 0")
+    return value
+
+
 def _products(lanes: list[Mapping[str, Any]], fam: Mapping[str, Any]) -> tuple[Product, ...]:
     writers = fam.get("writers") or [False] * len(lanes)
     bound = fam.get("zone_bound") or [False] * len(lanes)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -24,6 +24,7 @@
 
 from rushladder.catalog.reader import Catalog, Faulty
 from rushladder.catalog.watch import SILENT, Watch
+from rushladder.conf.birth import Unfit, birth
 from rushladder.core.workers import Workers
 from rushladder.interface import (
     Applied,
@@ -893,6 +894,15 @@
             with self.assertRaisesRegex(Wrong, "connect_timeout"):
                 self.node(entry("s-0"), connect_timeout=wrong)
 
+    def test_a_channel_without_a_pace_is_refused_by_name(self) -> None:
+        story = ProcessStories()
+        story.port = 9
+        for wrong in (0, -5, float("inf")):
+            config = story.config()
+            config["settings"]["family_info"]["egress_per_s"] = wrong
+            with self.assertRaisesRegex(Unfit, "egress_per_s"):
+                birth(config["settings"])
+
     def test_one_that_waited_for_its_turn_is_probed_where_it_is_then(self) -> None:
         node, reactor = self.node(entry("s-0"), *(entry(f"s-{k}") for k in range(1, 80)))
         for k in range(80):
