What a former manager withdrew at a proxy is let back by the one that takes it over

Seen by callers: a sound worker stays shut out at every proxy that a lost manager had told so, for good: lost capacity that no figure shows. On the wire: `drop=s-0` of one process, `s-0:25` in the table of the next, no `undrop`.

Cause: the protocol keeps withdrawals over a change of streams, and `StreamHost` let back only what its own manager had withdrawn.

Change: the module lets each line back once at a proxy that came with tables of another manager (`Joined.keeps`, told by the platform's road alone), where a message goes out anyway or the channel is nearly empty. Why it holds: every line that such a proxy can use, now or later, is let back, but for servers that no former manager can have known.

--- a/rushladder/benchlink/hosting.py
+++ b/rushladder/benchlink/hosting.py
@@ -168,6 +168,9 @@
     def hold_back(self, worker: Worker, out: bool) -> None:
         self._order("HoldBack", yes=out, worker=worker.name)
 
+    def let_back(self, proxy: Proxy, workers: Sequence[Worker]) -> None:
+        """A proxy that is bound heeds this instance's withdrawals alone."""
+
     def gate(self, tbl: int | None, products: Sequence[Product], level: float, retry: Retry) -> None:
         self._order("GateClass", map_id=EVERY_TABLE if tbl is None else tbl,
                     class_bits=self._bits(products), let_in=level, again=int(retry))
--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -88,7 +88,7 @@
         for entry in event.entries:
             if (server := entry.worker) not in self.servers:
                 server.place = sum((server.zone, server.model) == (s.zone, s.model) for s in self.servers)
-                self.servers[server] = None
+                self.servers[server], server.listed_at = None, self._host.now()
             restarted, ready = entry.started_at != server.started_at, entry.availability is Availability.READY
             server.size, server.started_at = max(entry.size, 1e-3), entry.started_at
             started = Sign.STARTED if restarted and self.ramp(server) < 1 else Sign.LISTED
@@ -448,6 +448,23 @@
                        and s.left_at < self._host.now() - 60 * SECOND and s not in named]:
             del self._fleet.servers[server]
 
+    def let_back(self) -> None:
+        """A proxy keeps what a former manager withdrew, and no figure of ours shows a worker that is shut out
+        there: each line is let back once, as messages go out anyway or the channel has little else to carry.
+        What was first listed well after the joining no former manager can have withdrawn there."""
+        lines, keeps = self._outbox.lines, [g for g in self._outbox.proxies.joined if g.keeps and g.tables]
+        for gateway in keeps if self._outbox.has_room((), 0, 0.7) else ():
+            latest = gateway.joined_at + 10 * SECOND  # a list is told 6 s apart at most
+            named = dict.fromkeys(server for table in gateway.tables for server in table.lines)
+            servers = [server for server in named if server.told is Standing.SERVING
+                       and server.listed_at <= latest and server not in gateway.let_back]
+            part = 0.7 if lines.price([gateway]) <= 1 else 0.2
+            if servers and self._outbox.has_room([gateway], len(servers), part):
+                self._host.let_back(gateway, servers)
+                lines.add([gateway], len(servers))
+                gateway.let_back.update(dict.fromkeys(servers))
+                gateway.let_back = {server: None for server in gateway.let_back if server in named}
+
     def _holders(self, server: Server) -> Collection[Gateway]:
         return dict.fromkeys(gateway for tables in self._tables.values() for table in tables
                              if server in table.lines for gateway in table.gateways)
@@ -660,13 +677,14 @@
             self._fleet.judge(self._demand)
             self._levels.period()
             self._tables.refresh()
+            self._tables.let_back()
             if self._may_tell:
                 self._host.tell(None, self._demand.word())
 
     def _joined(self, event: Joined[Gateway]) -> None:
         gateway = event.proxy
         self._left(Left(gateway))  # it may come again before its break was noticed
-        gateway.begin(self._host.now(), self._products)
+        gateway.begin(self._host.now(), self._products, event.keeps)
         self._tables.assign(gateway)
         self._outbox.proxies.join(gateway)
         self._fleet.reached(gateway.zone)  # a zone withdrawn as cut off serves its own proxies at once
--- a/rushladder/core/host.py
+++ b/rushladder/core/host.py
@@ -465,6 +465,9 @@
                     self._touched[port] = None
                     port.owe(product, urgent=True)
 
+    def let_back(self, proxy: Proxy, workers: Sequence[Worker]) -> None:
+        """What a gateway holds is read back, and differs until it is as wanted."""
+
     def gate(self, tbl: int | None, products: Sequence[Product], level: float, retry: Retry) -> None:
         for table in self._tables.values() if tbl is None else (self._table(tbl),):
             for product in products or self.products:
--- a/rushladder/interface.py
+++ b/rushladder/interface.py
@@ -184,6 +184,7 @@
 class Joined(Generic[P]):
     proxy: P
     bare: bool  # it holds only the table it drew at its start
+    keeps: bool = False  # workers that a former manager had it shut out stay so, though it is bound anew
 
 
 @dataclass(frozen=True)
@@ -286,6 +287,9 @@
 
     def hold_back(self, worker: Worker, out: bool) -> None: ...
 
+    def let_back(self, proxy: Proxy, workers: Sequence[Worker]) -> None:
+        """Undoes what a former manager withdrew at this proxy."""
+
     def gate(self, tbl: int | None, products: Sequence[Product], level: float, retry: Retry) -> None: ...
 
     def checkpoint(self, number: int, everyone: bool) -> None: ...
--- a/rushladder/records.py
+++ b/rushladder/records.py
@@ -30,6 +30,7 @@
         self.told = Standing.SERVING  # as the proxies were last told
         self.place = 0  # among the servers of its model in its zone
         self.started_at = self.out_until = self.out_for = 0
+        self.listed_at = 0  # when it was first listed
         self.left_at = 0  # when it was learned that it drains or is gone
         self.forget()
 
@@ -50,8 +51,10 @@
 class Gateway(Proxy):
     """A joined proxy: its team, its tables, and what came to it."""
 
-    def begin(self, now: int, products: Sequence[Product]) -> None:
+    def begin(self, now: int, products: Sequence[Product], keeps: bool) -> None:
         self.joined_at, self.team, self.tables = now, 0, list[Table]()
+        self.keeps = keeps  # what a former manager withdrew at it
+        self.let_back = dict[Server, None]()  # whatever that manager had withdrawn
         self.counted = self.usual_rate  # in its team's sum: the proxy may name another rate as it comes again
         self.came = {product: Ring(SECOND, PROXY_BUCKETS, 2) for product in products}  # many, time covered
         self.rates, self.rated = dict[Product, float](), (-1, 0)  # when they were worked out
--- a/rushladder/streams/host.py
+++ b/rushladder/streams/host.py
@@ -137,7 +137,7 @@
             gateway = self._gateways[number] = Gateway(str(number), zone, weight)
         gateway.usual_rate = weight
         self.ports[number] = Port(gateway, stream)
-        return [*events, Joined(gateway, fresh)]
+        return [*events, Joined(gateway, fresh, keeps=not fresh)]
 
     def leave(self, number: int, stream: Stream) -> Left[Gateway] | None:
         """The stream has ended: the event for the next batch, if it was still the proxy's."""
@@ -303,6 +303,14 @@
                 self._touched[port] = None
                 port.heed[worker] = None
 
+    def let_back(self, proxy: Proxy, workers: Sequence[Worker]) -> None:
+        port = self.ports.get(int(proxy.name))
+        if port is not None and port.gateway is proxy:
+            self._touched[port] = None
+            for worker in workers:
+                assert isinstance(worker, Server)
+                port.heed[worker] = None
+
     def gate(self, tbl: int | None, products: Sequence[Product], level: float, retry: Retry) -> None:
         for product in products or self.products:
             if tbl is None:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -3,9 +3,10 @@
 import struct
 import unittest
 from dataclasses import replace
+from typing import Any
 
-from rushladder.interface import Availability, LevelUnit, ListKind, PeerWord, Retry
-from rushladder.records import Server
+from rushladder.interface import Availability, Joined, LevelUnit, ListKind, PeerWord, Retry
+from rushladder.records import Gateway, Server
 from tests.fakehost import ASK, PAY, FakeHost
 
 
@@ -150,6 +151,57 @@
         self.assertTrue(all(host.lines(tbl) for _, tbl, _ in bound))
 
 
+class HandOverStories(unittest.TestCase):
+    """What a former manager withdrew stays shut out at a proxy that moved, and no figure of ours shows it."""
+
+    def moved(self, host: FakeHost, *gateways: Gateway, keeps: bool = True) -> None:
+        host.joined.update(gateways)
+        host.give(*(Joined(gateway, False, keeps) for gateway in gateways))
+
+    def named(self, host: FakeHost) -> list[tuple[Any, Any]]:
+        return [(gateway, server) for gateway, servers in host.named("let_back") for server in servers]
+
+    def test_each_line_is_let_back_once_at_proxies_that_keep_withdrawals(self) -> None:
+        host = FakeHost()
+        self.moved(host, host.gateways[0])
+        self.moved(host, host.gateways[2], keeps=False)
+        host.join(host.gateways[1])
+        host.run(10)
+        self.assertEqual({gateway for gateway, _ in host.named("let_back")}, {host.gateways[0]})
+        self.assertEqual(len(self.named(host)), len(set(self.named(host))))
+        self.assertEqual({server for _, server in self.named(host)}, set(host.lines(0)))
+
+    def test_a_line_that_comes_later_is_let_back_too_but_for_new_servers(self) -> None:
+        host = FakeHost(servers=4)
+        self.moved(host, host.gateways[0])
+        host.roster(ListKind.CHANGES, host.servers[0], state=Availability.GONE)
+        host.run(15)
+        new = Server("new", "a", "m", 0)
+        host.servers.append(new)
+        host.roster(ListKind.CHANGES, new, host.servers[0])
+        host.run(20)
+        back = {server for _, server in self.named(host)}
+        self.assertIn(host.servers[0], back)
+        self.assertIn(new, host.lines(0))
+        self.assertNotIn(new, back)
+
+    def test_joiners_and_a_full_channel_go_first(self) -> None:
+        host = FakeHost(gateways=60, pending=600.0)
+        self.moved(host, *host.gateways[:40])
+        host.applies = False
+        host.run(5)
+        before = len(host.named("let_back"))
+        host.run(5)
+        self.assertEqual(len(host.named("let_back")), before)
+        self.assertLess(before, 40)
+        host.applies = True
+        for gateway in host.gateways[:40]:
+            host.leave(gateway)
+        self.moved(host, *host.gateways[:40])
+        host.run(60)
+        self.assertEqual({gateway for gateway, _ in host.named("let_back")}, set(host.gateways[:40]))
+
+
 class HealthStories(unittest.TestCase):
     def test_a_hung_server_is_withdrawn_and_let_in_again(self) -> None:
         host = FakeHost()
