Lines of a batch that one proxy answered are counted until they have left the channel

Cause: `Lines.passed` dropped the batch that was answered together with those before it, though its other messages may still wait: by the pace 29,987 lines, by the count 25,309 (the trace, 28.4 s).

Change: batches before the answered one are dropped, no more. The step of a beat moves from `Outbox` to `lines.py`, with the channel's pace and limit. Why it holds: the channel is first in, first out, so nothing after an answered message is known to have left.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -31,24 +31,17 @@
 
     def __init__(self, channel: Channel, grace: int) -> None:
         self.proxies, self.pace = Proxies(), channel.lines_per_s / SECOND
-        self.lines = Lines[Gateway](channel.head + 1)  # and its mark
         self._bound, self._travels = grace - channel.longest_way, channel.usual_way * self.pace
+        self.lines = Lines[Gateway](channel.head + 1, self.pace, self._travels, channel.pending_max)
         # No closer than the cap's even pace, less three for its join and a late beat or two.
         self.beat = max(SECOND, channel.cap_span // max(1, (channel.message_cap or 999) - 3))
-        self._answered, self.limit = (0, 0), 0.9 * channel.pending_max  # by the last two beats; out of turn
+        self.limit = 0.9 * channel.pending_max  # out of turn
         self._short, self._capped = grace < self.beat + channel.longest_way, channel.message_cap > 0
         # Half the limit, as what can't be put off fits twice (rule 5), and no more than lets a withdrawal
         # behind it arrive within the grace (rule 3). What is on its way to the proxies waits no more.
         self._most = self._travels + min(0.5 * channel.pending_max, self.pace * max(
             0, self._bound - (0 if self._short or not self._capped else self.beat)))
 
-    def period(self) -> None:
-        """Messages leave one after the other, so those sent before one that was answered two beats ago have
-        left too: a proxy that fell silent for good would fill the channel's count until nothing could be
-        sent."""
-        self.lines.passed(self._answered[0])
-        self._answered = self._answered[1], self.lines.newest
-
     def at_once(self) -> bool:
         """Whether a change of the list is told as it comes. A message is mostly its head: where one to each
         proxy takes a quarter of the channel's second, as a release may change the list each second,
@@ -673,7 +666,7 @@
             self._host.watch(True)
         if event.token == self.BEAT:
             self._host.wake(self._outbox.beat, self.BEAT)  # first: a fault must not end the beat
-            self._outbox.period()
+            self._outbox.lines.beat()
             self._fleet.judge(self._demand)
             self._levels.period()
             self._tables.refresh()
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -5,7 +5,8 @@
 from dataclasses import replace
 from typing import Any
 
-from rushladder.interface import Availability, Joined, LevelUnit, ListKind, PeerWord, Retry
+from rushladder.interface import Applied, Availability, Joined, LevelUnit, ListKind, PeerWord, Retry
+from rushladder.lines import Lines
 from rushladder.records import Gateway, Server
 from tests.fakehost import ASK, PAY, FakeHost
 
@@ -512,6 +513,25 @@
         self.assertIn(new, host.lines(0))
         self.assertLess(host.manager._outbox.lines.waiting, 100)
 
+    def test_what_still_waits_of_a_batch_that_one_proxy_answered_is_counted(self) -> None:
+        """The messages of one batch leave the channel one after the other, a great one over seconds. When its
+        first message was answered, the count took the whole batch for gone two beats later, and the module
+        filled the channel again: in the trace of a mass return 30,000 lines waited by the channel's pace and
+        25,309 by the count, and 34,927 lines waited where 34,900 may."""
+        first, second, lines = Gateway("1", "a", 1.0), Gateway("2", "a", 1.0), Lines[Gateway](4, 0.1, 0, 999)
+        for proxies in ([first, second], [first, second]):
+            lines.add(proxies, 6)
+            mark = lines.close()
+        lines.applied(Applied(first, mark, 0))
+        for _ in range(3):
+            lines.beat()
+        self.assertEqual(lines.waiting, 10)  # the second's message of the second batch, not that of the first
+        lines.add([first], 6)
+        lines.applied(Applied(first, lines.close(), 0))
+        for _ in range(3):
+            lines.beat()
+        self.assertEqual(lines.waiting, 0)  # a later batch was answered: it has left, or its proxy is silent
+
     def test_names_that_come_and_go_are_forgotten(self) -> None:
         host = FakeHost()
         host.join()
