A mass return binds its crowd to short tables and sends withdrawals by their sum

Seen by callers: most managers are lost in a release, one takes all proxies, and txns go to servers that left after the grace (rule 3), or the channel holds more lines than it may (rule 5).

Change: who joins a crowd is dealt to half and third teams with short tables, which grow once all are bound; withdrawals go together, by the sum of all that is owed; other lines get no room before it; no message passes the limit; levels that are alike are one order and one line.

Why it holds: the sum of what has to arrive is counted, and made small enough.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import struct
-from collections import Counter
 from collections.abc import Callable, Collection, Sequence
 from enum import Enum
 from random import Random
@@ -18,7 +17,9 @@
     LevelUnit, Listing, ListKind, PeerWord, Probed, ProbeResult, Product, Remembered, Reminder, Retry, Tries,
 )
 from rushladder.lines import Lines
-from rushladder.records import SECOND, Gateway, Proxies, Server, Standing, Table
+from rushladder.records import (
+    DOZEN, SECOND, SPLIT_TEAMS, Gateway, Proxies, Server, Standing, Table, Teams, backlog,
+)
 from rushladder.ring import Ring
 
 Sign = Enum("Sign", "LISTED STARTED LEAVING SICK SOUND REACHED")
@@ -27,38 +28,43 @@
 
 
 class Outbox:
-    """The proxies joined, what waits in the channel to them, and the pace of messages, for rule 5."""
+    """The proxies joined, what waits in the channel to them, and the pace of messages, for rules 3 and 5."""
 
     def __init__(self, channel: Channel, grace: int) -> None:
+        # Lines of withdrawals of what left, and of bindings too, that wait: no others before them (rule 3).
+        self.withdrawals, self.owed, self._pending_max = 0.0, 0.0, channel.pending_max
         self.proxies, self.pace = Proxies(), channel.lines_per_s / SECOND
-        self._bound, self._travels = grace - channel.longest_way, channel.usual_way * self.pace
-        self.lines = Lines[Gateway](channel.head + 1, self.pace, self._travels, channel.pending_max)
-        # No closer than the cap's even pace, less three for its join and a late beat or two.
+        self._bound, travels = grace - channel.longest_way, channel.usual_way * self.pace
+        self.lines = Lines[Gateway](channel.head + 1, self.pace, travels, channel.pending_max)  # and its mark
+        # The cap's even pace, less three messages for its join and a late beat or two.
         self.beat = max(SECOND, channel.cap_span // max(1, (channel.message_cap or 999) - 3))
-        self.limit = 0.9 * channel.pending_max  # out of turn
         self._short, self._capped = grace < self.beat + channel.longest_way, channel.message_cap > 0
-        # Half the limit, as what can't be put off fits twice (rule 5), and no more than lets a withdrawal
-        # behind it arrive within the grace (rule 3). What is on its way to the proxies waits no more.
-        self._most = self._travels + min(0.5 * channel.pending_max, self.pace * max(
+        # Half the limit, and no more than lets a withdrawal behind it arrive within the grace (rules 5, 3).
+        self._most = travels + min(0.5 * channel.pending_max, self.pace * max(
             0, self._bound - (0 if self._short or not self._capped else self.beat)))
 
     def at_once(self) -> bool:
-        """Whether a change of the list is told as it comes. A message is mostly its head: where one to each
-        proxy takes a quarter of the channel's second, as a release may change the list each second,
-        withdrawals ride on the beat's messages (rules 3 and 5)."""
+        """Whether a change of the list is told as it comes. Where the heads of messages to all proxies take a
+        quarter of the channel's second, withdrawals ride on the beat's messages (rules 3 and 5)."""
         heads = self.lines.price(self.proxies.joined, 0)
         return self._short or not (self._capped or heads > 0.25 * SECOND * self.pace)
 
-    def has_room(self, gateways: Collection[Gateway], count: float = 1, part: float = 1.0) -> bool:
-        """Whether `count` lines to each may be sent. Lines drain when a proxy says it applied them."""
-        waiting = self.lines.waiting + self.lines.price(gateways, count)
-        return not self.lines.waiting or waiting <= part * self._most
+    def has_room(self, gateways: Collection[Gateway], count: float = 1, part: float = 1.0,
+                 owed: float = 0.0) -> bool:
+        """Whether `count` lines to each may be sent behind what is `owed`. They drain as they are applied."""
+        waiting = self.lines.waiting + self.lines.price(gateways, count) + owed
+        return not self.lines.waiting or waiting <= min(part * self._most, self._pending_max)
+
+    def presses(self, waited: int, lines: float) -> bool:
+        """Whether what can wait for the grace has to go now: what has passed, one more beat, the queue with
+        the sum of all that is owed (each alone would find time), and the longest way exceed it (rule 3)."""
+        return waited + self.beat + self.lines.queue(lines) >= self._bound
 
-    def presses(self, waited: int, holders: Collection[Gateway]) -> bool:
-        """Whether an order that can wait for the grace has to go now: what has passed, one more beat, the
-        queue before it with its own lines, and the longest way would exceed the grace (rule 3)."""
-        queue = max(0, self.lines.waiting - self._travels + self.lines.price(holders)) / self.pace
-        return waited + self.beat + queue >= self._bound
+    def split(self) -> int:
+        """In how many parts a team is dealt to who joins now: the more of what the channel carries within the
+        grace is taken, the shorter are a crowd's tables (rule 3)."""
+        taken = self.lines.queue(self.lines.price(self.proxies.unbound, DOZEN)) / max(1, self._bound)
+        return 1 + (taken > 0.3) + (taken > 0.6)
 
     def left(self, gateway: Gateway) -> None:
         self.lines.left(gateway)
@@ -128,7 +134,6 @@
                 self._turn(server, Sign.SOUND)
             if self._may_probe and server.standing is not Standing.LEFT:
                 self._host.probe(server)
-        # Four seconds of reports: some 30 tries a server, so that a mean is good to about a seventh.
         seen = {server: server.seen(now, 3 + demand.cycle()) for server in self.in_service()}
         many, voided, settled, time = (sum(sums[k] for sums in seen.values()) for k in range(4))
         # A manager whose proxies use one zone's servers would not see that all of those are slow.
@@ -138,8 +143,7 @@
         for server, (n, v, s, t, _) in seen.items():
             ratio = t / s / (time / settled) if s >= 5 and t else 1.0
             # Mostly quick voids where the others have few: sick. Slow voids mean too full, and cost weight;
-            # slow for itself, or a server slow by nature would be taken for too full whatever it does to its
-            # txns.
+            # slow for itself, or a server slow by nature would always be taken for too full.
             by_tries = v >= 4 and v > 0.35 * n and voided - v < 0.1 * (many - n) and ratio * server.pace < 1.5
             # In a jam all probes fail: blaming one after the other would push over the rest.
             mute = server.bad_probes >= 2 and not (self.jammed or server.seen(now, 1 + demand.cycle())[2])
@@ -149,8 +153,8 @@
                     for product in self._products if product.open_to(server, server.zone)):
                 self._turn(server, Sign.SICK)
                 continue
-            # The companion: a tenth a period towards the table's latency over its own, smoothed over 10 s, as
-            # listed weights are rough. While cold, quick answers to a few txns are no sign of speed (rule 4).
+            # A tenth a period towards the table's latency over its own, as listed weights are rough. While
+            # cold, quick answers to a few txns are no sign of speed (rule 4).
             server.heard += s >= 5
             step = max(0.1, 1 / (1 + server.heard))
             server.pace += step * (min(2.0, 1 / ratio) - server.pace) * (s >= 5)
@@ -299,9 +303,8 @@
         # The best of late, fading: own declines and client retries lower successes, not what servers can do.
         self._best = max(self._settled, 0.975 * self._best)
         if now < self._since + (2 + self._demand.cycle()) * SECOND:
-            # A round of reports is not in yet, and what is spans time before its proxies joined. Taking that
-            # for what servers do, a manager that started anew under load declined nine tenths; until then,
-            # the usual.
+            # A round of reports is not in yet: taking what is for all that servers do, a manager that started
+            # anew under load declined nine tenths.
             self._best = max(self._best, self._usual)
         voids = median_high([sums[1] / sums[0] for sums in seen] or [0.0])
         before = self._plain
@@ -324,18 +327,18 @@
         self._budget = 0.0
 
     def _impose(self) -> None:
-        # The design's reserve. What waits beyond the bar has to be settled from the budget too: by the
-        # reserve alone a queue stands for many seconds. Led, as one that shrinks needs no cut on top.
+        # What waits beyond the bar has to be settled from the budget too: by the reserve alone a queue stands
+        # for many seconds. Led, as one that shrinks needs no cut on top.
         self._share(0.9 * self._settled * min(1.0, self._bar / max(1e-9, self._latency)))
 
     def _ease(self) -> None:
-        # From the budget in force, as what was let in is heard late and thinned. Fast up to what the servers
-        # last did less the reserve, then slowly, as the limit must be near.
+        # From the budget in force, as what was let in is heard late. Fast up to what the servers last did
+        # less the reserve, then slowly, as the limit must be near.
         most = 1.5 if self._budget < 0.9 * self._best else 1.05
         self._share(most * max(self._budget, self._settled))
 
     def _share(self, budget: float) -> None:
-        # Never under 0.65 of the best (tried 0.6 to 0.8): latency tells of queues that may be gone by now.
+        # Never under 0.65 of the best: latency tells of queues that may be gone by now.
         self._budget = max(budget, 0.65 * self._best)
         self._shares = {p: max(0.05, part) * self._budget for p, part in self._demand.mix.items()}
 
@@ -363,45 +366,53 @@
                  products: Sequence[Product], zones: Sequence[str], unit: LevelUnit, usual: Retry) -> None:
         self._host, self._outbox, self._fleet, self._demand = host, outbox, fleet, demand
         self._levels, self._unit, self._zones = levels, unit, zones
-        self._tables, self._debt, self._paid = dict[tuple[str, int], list[Table]](), 0.0, 0
-        # What a table that sets none has anyway is not set: three of a joiner's seventeen lines (rule 3).
+        self._debt, self._paid = 0.0, 0
+        # What a table that sets none has anyway is not set: lines of each joiner (rule 3).
         self._unset = 0.0 if usual is not Retry.UNSENT else 1e6 if unit is LevelUnit.RATE else 1.0
         self._split, self._planned = dict[str, int](), 0
         eligible = [(product.models, product.zones, product.home_only) for product in products]
-        self._groups = [[product for product, other in zip(products, eligible, strict=True) if other == kind]
-                        for kind in dict.fromkeys(eligible)]
+        self._teams = Teams(outbox.proxies, [
+            [product for product, other in zip(products, eligible, strict=True) if other == kind]
+            for kind in dict.fromkeys(eligible)])
+        self._tables = self._teams.tables
 
-    def _teams(self, zone: str) -> int:
+    def _count(self, zone: str) -> int:
         """Large zones are shared out by the dozen: a line costs each proxy a connection and messages. Proxies
-        are dealt once, so the number stays until it is off by three quarters: counting those that left, or
-        one that a release adds before it takes another, left all proxies on half of their zone's servers."""
-        dozens = sum(s.zone == zone and s.standing is not Standing.LEFT for s in self._fleet.servers) / 12
+        are dealt once, so the number stays until it is off by three quarters, as in a release."""
+        dozens = sum(s.zone == zone and s.standing is not Standing.LEFT for s in self._fleet.servers) / DOZEN
         if abs(dozens - self._split.get(zone, -1)) > 0.75:
             self._split[zone] = max(1, round(dozens))
         return self._split[zone]
 
     def assign(self, gateway: Gateway) -> None:
-        gateway.team = min(range(self._teams(gateway.zone)),
-                           key=lambda team: self._outbox.proxies.usual_rate(gateway.zone, team))
+        zone, split = gateway.zone, self._outbox.split()
+        teams: Sequence[int] = range(self._count(zone))
+        if split > 1 and not (teams := self._teams.open(zone, split)):
+            teams = self._teams.open_new(zone, split, split * self._count(zone))
+            self._planned = 0  # what their tables hold is of an earlier time
+        gateway.team = min(teams, key=lambda team: self._outbox.proxies.usual_rate(zone, team))
 
     def join(self, part: float = 1.0) -> None:
         """Binds who has joined, as the channel drains: a fleet that joins at once would fill it (rule 5). Who
         joins together is planned for together: a table made for the first of them fits none."""
         unbound, ready = self._outbox.proxies.unbound, self._host.now() - SECOND // 32
-        many = Counter((gateway.zone, gateway.team) for gateway in unbound)
+        many = self._outbox.proxies.unbound_by_team()
+        if unbound and self._outbox.presses(ready - next(iter(unbound)).joined_at, self._outbox.owed):
+            part = 2.0  # up to the channel's limit, less what withdrawals need of it
+        withdrawals = self._outbox.withdrawals * (part > 1)
         for gateway in [gateway for gateway in unbound if gateway.joined_at <= ready]:
-            if not self._outbox.has_room([gateway], 1, part):
+            if not self._outbox.has_room([gateway], 1, part, withdrawals):
                 break  # nor for any other: planning for them would cost time and bind nobody
             key = gateway.zone, gateway.team
             if key not in self._tables or (not self._tables[key][0].gateways and self._planned < ready):
-                # Not planned of late: it could bind a joiner to no line (rule 1). The others stay: written at
-                # each turn of joiners after a restart, their proxies got 13 messages of 12 (rule 5).
+                # Not planned of late: it could bind a joiner to no line (rule 1). Held tables stay as they
+                # are: written at each turn of joiners, their proxies got more messages than may (rule 5).
                 self.refresh(False)
             for table in self._tables[key] if many[key] else ():
                 self._leave_out(table, many[key])
             many[key] = 0
-            cost = sum(1 + len(table.lines) + len(table.gates) for table in self._tables[key])
-            if self._outbox.has_room([gateway], cost, part):
+            cost = sum(table.binding() for table in self._tables[key])
+            if self._outbox.has_room([gateway], cost, part, withdrawals):
                 del unbound[gateway]
                 gateway.tables = self._tables[key]
                 self._outbox.lines.add([gateway], cost)
@@ -410,10 +421,11 @@
                     self._host.bind(gateway, table.number, table.products)
 
     def _leave_out(self, table: Table, joiners: int) -> None:
-        """A line of a server that left, and its withdrawal, cost two lines at each joiner; one and a head to
-        take out at each who is bound: bindings leave them out where that is less (rule 3)."""
+        """A server that left costs each joiner two lines, or one and a head at each who is bound to take it
+        out: bindings leave it out where that is less (rule 3)."""
         left = [server for server in table.lines if server.standing is Standing.LEFT]
-        less = self._outbox.lines.price(table.gateways, len(left)) <= 2 * len(left) * joiners
+        less = (self._outbox.lines.price(table.gateways, len(left)) <= 2 * len(left) * joiners
+                and self._outbox.has_room(table.gateways, len(left)))
         for server in left if less and len(left) < len(table.lines) else ():
             del table.lines[server]
             self._host.weigh(table.number, server, 0.0)
@@ -421,65 +433,84 @@
 
     def refresh(self, held: bool = True) -> None:
         """Plans, and sends what differs; held: also of tables that proxies hold, which takes messages."""
-        # Those dealt out while a zone had more teams keep theirs: they came before it was planned for.
-        for key in [*((zone, team) for zone in self._zones for team in range(self._teams(zone))),
-                    *((gateway.zone, gateway.team) for gateway in self._outbox.proxies.unbound)]:
-            self._tables.setdefault(key, [Table(len(self._tables) * len(self._groups) + k, *key, group)
-                                          for k, group in enumerate(self._groups)])
+        for key in [*((zone, team) for zone in self._zones for team in range(self._count(zone))),
+                    *self._outbox.proxies.unbound_by_team()]:
+            self._teams.add(*key)
         self._planned = self._host.now()
         if held:
             self._withdraw()
+            if not self._outbox.owed and self._outbox.lines.queue() < SECOND:
+                self._teams.make_whole()  # the crowd is told: its tables grow as other moves do
         self._plan()
         self._send(held)
         self._forget()
 
     def _forget(self) -> None:
-        """Names that come and go for months would fill memory. One that left is kept for a minute, as it may
-        come back under its name while proxies still shut it out, and as long as a table names it."""
-        named = {server for tables in self._tables.values() for table in tables for server in table.lines}
+        """One that left is kept for a minute, as it may come back under its name while proxies still shut it
+        out, and as long as a table names it; for good, names would fill memory."""
+        named = {server for table in self._teams.all_tables() for server in table.lines}
         for server in [s for s in self._fleet.servers if s.standing is s.told is Standing.LEFT
                        and s.left_at < self._host.now() - 60 * SECOND and s not in named]:
             del self._fleet.servers[server]
 
     def let_back(self) -> None:
-        """A proxy keeps what a former manager withdrew, and no figure of ours shows a worker that is shut out
-        there: each line is let back once, as messages go out anyway or the channel has little else to carry.
-        What was first listed well after the joining no former manager can have withdrawn there."""
+        """A proxy keeps what a former manager withdrew, which no figure of ours shows: each line is let back
+        once, with messages that go out anyway or where the channel has little else to carry."""
         lines, keeps = self._outbox.lines, [g for g in self._outbox.proxies.joined if g.keeps and g.tables]
-        for gateway in keeps if self._outbox.has_room((), 0, 0.7) else ():
-            latest = gateway.joined_at + 10 * SECOND  # a list is told 6 s apart at most
+        for gateway in keeps if self._outbox.has_room((), 0, 0.7, self._outbox.owed) else ():
+            latest = gateway.joined_at + 10 * SECOND  # what is listed later, no former manager knew
             named = dict.fromkeys(server for table in gateway.tables for server in table.lines)
             servers = [server for server in named if server.told is Standing.SERVING
                        and server.listed_at <= latest and server not in gateway.let_back]
             part = 0.7 if lines.price([gateway]) <= 1 else 0.2
-            if servers and self._outbox.has_room([gateway], len(servers), part):
+            if servers and self._outbox.has_room([gateway], len(servers), part, self._outbox.owed):
                 self._host.let_back(gateway, servers)
                 lines.add([gateway], len(servers))
                 gateway.let_back.update(dict.fromkeys(servers))
                 gateway.let_back = {server: None for server in gateway.let_back if server in named}
 
     def _holders(self, server: Server) -> Collection[Gateway]:
-        return dict.fromkeys(gateway for tables in self._tables.values() for table in tables
-                             if server in table.lines for gateway in table.gateways)
+        return dict.fromkeys(gateway for table in self._teams.all_tables() if server in table.lines
+                             for gateway in table.gateways)
 
     def _withdraw(self) -> None:
-        # A joiner heeds these withdrawals once it is bound, so binding goes before what can wait (rule 3).
-        joining = bool(self._outbox.proxies.unbound)
-        for server in [server for server in self._fleet.servers if server.standing is not server.told]:
-            # A sick one waits for room too, a release also for that of its weight's lines (rule 4).
+        outbox, servers = self._outbox, self._fleet.servers
+        left = sorted((s for s in servers if s.standing is Standing.LEFT and s.told is Standing.SERVING),
+                      key=lambda server: server.left_at)
+        outbox.owed, outbox.withdrawals = self._teams.bindings(outbox.lines), 0.0
+        if left:
+            self._withdraw_left(left)
+            outbox.owed += outbox.withdrawals
+        for server in [s for s in servers if s.standing is not s.told and s not in left]:
+            # A sick one waits for room, a release also for that of its weight's lines (rule 4).
             holders = self._holders(server)
-            urgent = server.standing is Standing.LEFT and server.told is Standing.SERVING
-            lines = self._outbox.lines.waiting + self._outbox.lines.price(holders)
-            if urgent and (joining or lines > self._outbox.limit):
-                if not self._outbox.presses(self._host.now() - server.left_at, holders):
-                    continue
-                if joining:  # before it, room or not: behind it they were bound after the grace
-                    self.join(1.6)
-                    joining, holders = False, self._holders(server)
-            if urgent or self._outbox.has_room(holders, 3 if server.standing is Standing.SERVING else 1, 0.6):
-                self._host.hold_back(server, server.standing is not Standing.SERVING)
-                self._outbox.lines.add(holders)
-                server.told = server.standing
+            count = 3 if server.standing is Standing.SERVING else 1
+            if outbox.has_room(holders, count, 0.6, outbox.owed):
+                self._tell(server, holders)
+
+    def _withdraw_left(self, left: Sequence[Server]) -> None:
+        """Together, as most of a message is its head. A joiner heeds them once it is bound, so binding goes
+        before what can wait; what would pass the channel's limit waits for it to drain (rule 5)."""
+        outbox, holders = self._outbox, {server: self._holders(server) for server in left}
+        union = {gateway: None for some in holders.values() for gateway in some}
+        outbox.withdrawals = outbox.lines.price(union, 0) + sum(len(some) for some in holders.values())
+        if outbox.proxies.unbound or not outbox.has_room((), 0, 1.0, outbox.withdrawals):
+            if not outbox.presses(self._host.now() - left[0].left_at, outbox.owed + outbox.withdrawals):
+                return
+            self.join(1.6)  # before them, room or not: behind them they were bound too late
+            holders = {server: self._holders(server) for server in left}
+            outbox.owed = self._teams.bindings(outbox.lines)
+        outbox.withdrawals = 0.0
+        for server in left:
+            if outbox.lines.fits(holders[server]):
+                self._tell(server, holders[server])
+            else:
+                outbox.withdrawals += outbox.lines.price(holders[server])
+
+    def _tell(self, server: Server, holders: Collection[Gateway]) -> None:
+        self._host.hold_back(server, server.standing is not Standing.SERVING)
+        self._outbox.lines.add(holders)
+        server.told = server.standing
 
     def _plan(self) -> None:
         """Home first: a team's demand goes to its own servers up to even use, then its zone's, then far."""
@@ -490,23 +521,24 @@
         use = max(1e-3, sum(own.values()) + sum(away.values())) / known
         # Nothing spills to zones unheard of. A tenth over even use stays home: it is known no better. In a
         # jam only the warm get any: proxies avoid full servers, and would all turn to a cold one (rule 4).
-        # Overload may tip into one within a beat: cold ones get 0.7 of what they have (0.5 to 0.85 did too).
+        # Overload may tip into one within a beat.
         room = {s: 1.1 * use * size * (0.7 if ramp(s) < 1 and self._levels.sheds() else 1.0)
                 for s, size in capacity.items() if s.zone in heard and ramp(s) >= self._fleet.jammed}
-        teams = {zone: self._teams(zone) for zone in self._zones}
-        may = {table: [s for s in capacity if table.products[0].open_to(s, table.zone)]
-               for tables in self._tables.values() for table in tables}
-        tables = sorted(may, key=lambda table: len(may[table]))  # those with the fewest servers choose first
+        teams = {zone: self._count(zone) for zone in self._zones}
         crews = {key: list[Gateway]() for key in self._tables}
         for gateway in self._outbox.proxies.joined:
             crews[gateway.zone, gateway.team].append(gateway)
+        may = {table: [s for s in capacity if table.products[0].open_to(s, table.zone)]
+               for table in self._teams.all_tables()
+               if table.team < SPLIT_TEAMS or crews[table.zone, table.team]}
+        tables = sorted(may, key=lambda table: len(may[table]))  # those with the fewest servers choose first
         for table in tables:
-            members = crews[table.zone, table.team]
-            told = sum(away[table.zone, product] for product in table.products) / teams[table.zone]
+            members, whole = crews[table.zone, table.team], table.team < SPLIT_TEAMS
+            told = whole * sum(away[table.zone, product] for product in table.products) / teams[table.zone]
             table.wanted, table.want = {}, max(1e-3, told + sum(
                 rates[product] for rates in map(self._demand.rates, members) for product in table.products))
         tiers: tuple[Callable[[Table, Server], bool], ...] = (
-            lambda t, s: s.zone == t.zone and s.place % teams[s.zone] == t.team,
+            lambda t, s: s.zone == t.zone and (s.place - t.index) % (t.split * teams[s.zone]) == 0,
             lambda t, s: s.zone == t.zone, lambda t, s: s.zone != t.zone)
         for near in tiers:
             for table in tables:
@@ -520,9 +552,11 @@
         for table in tables:
             for least in (1, 0):  # where none has room, what is warm, or else whatever there is
                 self._pour(table, [server for server in may[table] if ramp(server) >= least], dict(capacity))
-            # A line under a hundredth of its table costs a connection and carries nothing.
-            total = sum(table.wanted.values())
+            total = sum(table.wanted.values())  # a line under a hundredth costs a connection for nothing
             table.wanted = {s: 100 * part / total for s, part in table.wanted.items() if part > 0.01 * total}
+            if table.split > 1:  # short, by leaving out what carries least
+                most = sorted(table.wanted, key=lambda s: -table.wanted[s])[:30 // table.split]
+                table.wanted = {s: part for s, part in table.wanted.items() if s in most}
             # In the scale of the lines that stay, so that these need no change where others come or go.
             stay = [(table.lines[s], part) for s, part in table.wanted.items() if s in table.lines]
             scale = sum(line for line, _ in stay) / sum(part for _, part in stay) if stay else 1.0
@@ -541,20 +575,22 @@
         """Levels first; then weights table by table, those of cold servers (rule 4) and the greatest moves
         first, for half of the channel's pace: what small moves gain, they cost in orders and lag."""
         turns, ramp = list[tuple[float, float, Table, list[Server]]](), self._fleet.ramp
-        for table in [table for tables in self._tables.values() for table in tables
-                      if held or not table.gateways]:
+        for table in [table for table in self._teams.all_tables() if held or not table.gateways]:
+            figures = dict[float, list[Product]]()
             for product in table.products:
                 figure, before = self._figure(table, product), table.gates.get(product, self._unset)
                 # The last step to full always goes out: held back as small, it would decline for good. A
                 # fifth of the room is kept: levels of each beat left a table without a line (rule 1).
-                differs = abs(figure - before) > 0.1 * before or before < 1 <= figure
-                if differs and self._outbox.has_room(table.gateways, 1, 0.8):
+                if abs(figure - before) > 0.1 * before or before < 1 <= figure:
+                    figures.setdefault(figure, []).append(product)
+            for figure, products in figures.items():
+                if self._outbox.has_room(table.gateways, 1, 0.8, self._outbox.owed):
                     # No try after one that may have run: rule 2, and lost proxies would feed jams.
-                    self._host.gate(table.number, [product], figure, Retry.UNSENT)
+                    self._host.gate(table.number, products, figure, Retry.UNSENT)
                     self._outbox.lines.add(table.gateways)
-                    table.gates[product] = figure
-            # The document's hysteresis of a tenth, of the line itself or of the even one. Rule 1: an empty
-            # plan changes nothing; the last lines stay until there are others.
+                    table.gates.update(dict.fromkeys(products, figure))
+            # Hysteresis of a tenth, of the line itself or of the even one. An empty plan changes nothing: the
+            # last lines stay until there are others (rule 1).
             moves = {server: table.wanted.get(server, 0.0) - table.lines.get(server, 0.0)
                      for server in {**table.lines, **table.wanted} if table.wanted}
             whole = sum(table.wanted.values())
@@ -569,15 +605,15 @@
         self._debt = max(0.0, self._debt - 0.5 * self._outbox.pace * (self._host.now() - self._paid))
         self._paid, queued = self._host.now(), self._outbox.lines.waiting
         for urgent, _, table, some in sorted(turns, key=lambda turn: turn[:2], reverse=True):
+            room, owed = self._outbox.has_room, 0 if urgent else self._outbox.owed
             for server in some:
-                # One that a release brought goes along with the levels of a long overload, which left no
-                # other line room for a minute, while withdrawals took the table's servers one by one.
+                # A new server's line goes along with the levels of a long overload, which left it no room.
                 comes = 0.7 * (server.zone == table.zone and server not in table.lines)
                 # Room is kept for joins and tables without a line (rules 1, 3), then for cold ones (rule 4).
                 # A message that goes out anyway costs no second head: moves ride along with its levels.
                 rides = 0.7 * (self._outbox.lines.price(table.gateways) <= len(table.gateways))
-                if (urgent or comes or not self._debt) and self._outbox.has_room(
-                        table.gateways, 1, max(urgent, comes, rides) or 0.4):
+                part = max(urgent, comes, rides) or 0.4
+                if (urgent or comes or not self._debt) and room(table.gateways, 1, part, owed):
                     table.lines[server] = table.wanted.get(server, 0.0)
                     self._host.weigh(table.number, server, round(table.lines[server], 3))
                     self._outbox.lines.add(table.gateways)
@@ -615,10 +651,9 @@
         self._tables = Tables(host, self._outbox, self._fleet, self._demand, self._levels, products, zones,
                               level_unit, usual)
         self._handlers: dict[type, Callable[..., None]] = {} if slices else {
-            Listing: self._listing, Reminder: self._reminder, Probed: self._fleet.probed,
-            PeerWord: self._demand.heard, Joined: self._joined, Left: self._left, Tries: self._fleet.tries,
-            Arrivals: self._demand.arrivals, Applied: self._outbox.lines.applied,
-            Remembered: self._remembered}
+            Listing: self._listing, Reminder: self._reminder, Probed: self._fleet.probed, Left: self._left,
+            PeerWord: self._demand.heard, Joined: self._joined, Applied: self._outbox.lines.applied,
+            Remembered: self._remembered, Arrivals: self._demand.arrivals, Tries: self._fleet.tries}
         if not slices:  # tables of slices are not this module's yet: it stays silent
             # Managers started together beat apart, so that their orders do not land all at once.
             host.wake(1 + int(self._draw() * self._outbox.beat), self.BEAT)
@@ -630,12 +665,7 @@
             handler(event)
 
     def backlog(self) -> Backlog:
-        """For figures and traces."""
-        now, unbound = self._host.now(), self._outbox.proxies.unbound
-        left = [server.left_at for server in self._fleet.servers
-                if server.standing is Standing.LEFT and server.told is Standing.SERVING]
-        return Backlog(len(unbound), next((now - gateway.joined_at for gateway in unbound), 0),
-                       max((now - left_at for left_at in left), default=0), round(self._outbox.lines.waiting))
+        return backlog(self._host.now(), self._outbox.proxies, self._fleet.servers, self._outbox.lines)
 
     def learned(self) -> Remembered[Server]:
         """What is worth keeping over a restart."""
--- a/rushladder/streams/host.py
+++ b/rushladder/streams/host.py
@@ -208,7 +208,7 @@
             parts += [config([product.name for product in some], gate=level)
                       for level, some in levels.items() if level != own]
             written[Purpose.BINDING if anew else Purpose.WEIGHT] += anew + len(rows)
-            written[Purpose.BINDING if anew else Purpose.LEVEL] += sum(map(len, levels.values()))
+            written[Purpose.BINDING if anew else Purpose.LEVEL] += len(levels)
         assert len(parts) <= PARTS
         if port.mark is not None:
             parts = [*parts[:-1], (parts[-1] if parts else config()) + f" stamp={port.mark}"]
