--- a/rushladder/cli/main.py
+++ b/rushladder/cli/main.py
@@ -7,6 +7,7 @@
 import socket
 import sys
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 
 import attrs
@@ -117,6 +118,16 @@
         return answers[1:]
 
 
+def chart_maker() -> Callable[..., list[Path]]:
+    """What draws the charts of a day; prints what to install and leaves with 2 where it is missing."""
+    try:
+        from rushladder.trials.charts import draw
+    except ImportError as missing:
+        click.echo(f"rushladder trial: --report needs {missing.name}: install rushladder[charts]", err=True)
+        sys.exit(2)
+    return draw
+
+
 @main.command()
 @click.argument("file")
 @click.option("--report", type=click.Path(file_okay=False), help="Writes charts of the day to this folder.")
@@ -126,8 +137,10 @@
 def trial(file: str, report: str | None, keep: str | None, memory: str | None, compare: bool) -> None:
     """Plays the day in FILE with real managers and stand-ins on loopback, and judges it. Leaves with 1 if
     a rule broke."""
-    from rushladder.trials import charts, day as days, judge, play
+    from rushladder.trials import day as days, judge, play
 
+    if report:
+        draw = chart_maker()  # before the day is played: a missing package is told at once
     try:
         day = days.read_day(Path(file).read_text(), file)
     except Faulty as faulty:
@@ -160,7 +173,7 @@
     if compare:
         click.echo(f"on standing tables: service {verdicts[1].service:.3f}")
     if report:
-        for path in charts.draw(day, verdicts[0], Path(report), verdicts[1] if compare else None):
+        for path in draw(day, verdicts[0], Path(report), verdicts[1] if compare else None):
             click.echo(str(path))
     sys.exit(1 if verdicts[0].breaks else 0)
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -55,8 +55,8 @@
         self.assertIn((host.servers[0], True), host.named("hold_back", host.run(2)))
 
     def test_withdrawals_of_many_servers_that_waited_arrive_within_the_grace_together(self) -> None:
-        """A release takes half of the servers while joiners wait for room. Each withdrawal found time to wait,
-        reckoned with its own lines alone; then all went out in one beat, and the last of them arrived after
+        """A release takes half of the servers while joiners wait for room. Each withdrawal found time to
+        wait, reckoned with its own lines alone; then all went out in one beat, and the last arrived after
         the grace. Seen in the trace of harbour-tickets herd+mass 11: 1,539 messages in the beat at 24.6 s, a
         queue of 39,658 lines, 13.7 s of the channel, for drains of 7 s ago and a grace of 13.8 s. They press
         by the sum of all that is owed since."""
