A soak of the process `run` starts: seeded faults, series of signals, crowds, judged by sockets

Need: moments that no story forces were met by the operators alone.

Change: `rushladder soak` plays seeded runs on loopback: workers that drain, vanish, return elsewhere, fall sick; discovery that moves, falls silent, is cut in a line, sends lists that can't be read; streams paused, half closed, dialled twice; strangers; SIGHUP, SIGTERM and SIGKILL in series, SIGKILL 0.7 s after SIGTERM, clients using their connections until then; some runs with a crowd. `soak_judge` holds what crossed the sockets against the protocol's aims and tells seed, second, connection and the lines before a break. The stand-ins are in standins/platform.py, which the stories of races and of the platform share (their own copies are gone).

--- a/rushladder/cli/main.py
+++ b/rushladder/cli/main.py
@@ -178,6 +178,24 @@
     sys.exit(1 if verdicts[0].breaks else 0)
 
 
+@main.command()
+@click.option("--seeds", default=1, show_default=True, help="How many seeds are played, one after the other.")
+@click.option("--first", default=1, show_default=True, help="The first seed.")
+@click.option("--seconds", default=12.0, show_default=True, help="Length of a run, before its last look.")
+@click.option("--crowd/--no-crowd", default=None, help="Whether runs have a crowd; unset: every third has.")
+def soak(seeds: int, first: int, seconds: float, crowd: bool | None) -> None:
+    """Plays seeded runs of the manager against the platform's stand-ins on loopback, with faults and signals.
+    Leaves with 1 if an aim of the protocol was not kept; the seed plays it again."""
+    from rushladder.trials.soak import run as play
+
+    if seeds < 1 or seconds < 4:
+        click.echo("rushladder soak: --seeds should be 1 or more, --seconds 4 or more", err=True)
+        sys.exit(2)
+    broken = play(first, seeds, seconds, crowd, click.echo)
+    click.echo(f"{seeds} seeds, {broken} broke an aim")
+    sys.exit(1 if broken else 0)
+
+
 @main.command()
 def version() -> None:
     """Prints the version."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -43,6 +43,8 @@
 from rushladder.service.exchange import Prober
 from rushladder.service.node import Node, Wrong, read_site
 from rushladder.service.notes import KINDS, SAME_AGAIN, Notes
+from rushladder.standins import platform
+from rushladder.standins.platform import configuration
 from rushladder.streams.account import ChannelAccount, Purpose
 from rushladder.streams.codec import (
     Ack,
@@ -65,12 +67,11 @@
 
 
 def entry(name: str, state: str = "ready", started_ms: float = 0, zone: str = "a") -> dict[str, Any]:
-    return {"id": name, "addr": "127.0.0.1:9", "zone": zone, "kind": "m", "cell": 0, "state": state,
-            "weight": 1.0, "started_ms": started_ms}
+    return {**platform.entry(name, 9, state, started_ms), "zone": zone}
 
 
 def listing(version: int, *entries: dict[str, Any], full: bool = True) -> bytes:
-    return json.dumps({"version": version, "full": full, "servers": entries}).encode()
+    return platform.listing(version, *entries, full=full).rstrip()
 
 
 class Wire(StringTransport):
@@ -963,21 +964,8 @@
             self.port = free.getsockname()[1]
 
     def config(self, **more: Any) -> dict[str, Any]:
-        lane = {"deadline": 3000000, "idempotency": "retryable", "name": "ask", "points": 3.0,
-                "target": 1200000}
-        return {
-            "name": "n3", "listen": f"127.0.0.1:{self.port}", "discovery": "127.0.0.1:1", "seed": "8c1f30",
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
-            "known": json.loads(listing(41, *(entry(f"s-{k}") for k in range(4)))),
-            "settings": {
-                "azs": ["a"], "group_size": 1, "me": 0, "membership_mode": "automatic", "lanes": [lane],
-                "family_info": {
-                    "bare": 8000000, "egress_per_s": 1300.0, "head": 3.0, "key_ranges": 0,
-                    "pending_max": 2000.0, "propagation": 446000, "proxies": 6,
-                    "push_delay_max": 1115000, "throttle_by": "ratio"},
-                "guarantees": {"cold": 15000000, "cold_from": 0.17, "drain_grace": 4200000,
-                               "overload_factor": 2.5, "overload_for": 2000000},
-                "limits": {"probes": False, "may_tell": False}, "reporting": {"how": "silent"}}, **more}
+        known = [entry(f"s-{k}") for k in range(4)]
+        return {**configuration(self.port, 1, known, proxies=6), **more}
 
     def start(self, config: Any) -> subprocess.Popen[str]:
         self.file.write_text(config if isinstance(config, str) else json.dumps(config))
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -18,18 +18,10 @@
 from pathlib import Path
 from typing import Any
 
+from rushladder.standins.platform import HEAD, chunk, configuration, entry, listing
+
 ROOT = Path(__file__).parent.parent
 WAIT = 20.0  # s that anything may take on a busy machine
-HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-
-
-def entry(name: str, port: int = 9, state: str = "ready", started_ms: float = 0) -> dict[str, Any]:
-    return {"id": name, "addr": f"127.0.0.1:{port}", "zone": "a", "kind": "m", "cell": 0, "state": state,
-            "weight": 1.0, "started_ms": started_ms}
-
-
-def listing(version: int, *entries: dict[str, Any], full: bool = False) -> bytes:
-    return json.dumps({"version": version, "full": full, "servers": entries}).encode() + b"\n"
 
 
 class Wire:
@@ -92,7 +84,7 @@
         return asked.split("index=")[1].split(" ")[0]
 
     def chunk(self, data: bytes) -> None:
-        self.send(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+        self.send(chunk(data))
 
 
 class Place:
@@ -125,22 +117,8 @@
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
             self.port = free.getsockname()[1]
-        lane = {"deadline": 3000000, "idempotency": "retryable", "name": "ask", "points": 3.0,
-                "target": 1200000}
-        self.config: dict[str, Any] = {
-            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery.port}",
-            "seed": "8c1f30", "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
-            "known": {"version": 41, "full": True, "servers": workers},
-            "settings": {
-                "azs": ["a"], "group_size": 1, "me": 0, "membership_mode": "automatic", "lanes": [lane],
-                "family_info": {
-                    "bare": 8000000, "egress_per_s": 1300.0, "head": 3.0, "key_ranges": 0,
-                    "pending_max": 2000.0, "propagation": 446000, "proxies": 12,
-                    "push_delay_max": 1115000, "throttle_by": "ratio"},
-                "guarantees": {"cold": 15000000, "cold_from": 0.17, "drain_grace": 4200000,
-                               "overload_factor": 2.5, "overload_for": 2000000},
-                "limits": {"probes": probes, "may_tell": False, "connect_timeout": 300000},
-                "reporting": {"how": "silent"}}, **more}
+        self.config = configuration(self.port, discovery.port, workers) | more
+        self.config["settings"]["limits"]["probes"] = probes
 
     def write(self, **more: Any) -> None:
         self.config |= more
