A second SIGTERM while the interpreter ends no longer ends the process by the signal

Cause: the interpreter takes its handlers back while it ends; a signal after that meets the default.

Change: SIGHUP, SIGTERM and SIGINT are ignored once the reactor has stopped, and before an early end. Why it holds: what is ignored the interpreter leaves alone.

--- a/rushladder/service/node.py
+++ b/rushladder/service/node.py
@@ -334,20 +334,30 @@
         self._log.info("channel", **self._channel())
 
 
+ENDING_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)  # by default each ends the process
+
+
 class Signals:
     """SIGHUP and SIGTERM from the process's first line on. By default the one would kill a manager that is
     about to serve, and the reactor's own handler of the other fails when it comes twice."""
 
     def __init__(self) -> None:
         self._early, self._give = list[int](), self._early_one
-        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        for number in ENDING_SIGNALS:
             signal.signal(number, lambda number, _: self._give(number))
 
     def _early_one(self, number: int) -> None:
         if number != signal.SIGHUP:
+            self.ignore()
             raise SystemExit(0)  # nothing is served yet, and nobody waits for it
         self._early = [number]
 
+    def ignore(self) -> None:
+        """The process is about to end. The interpreter takes its handlers back while it ends: a second
+        SIGTERM then ended it by the signal, as if it had crashed. What is ignored stays so."""
+        for number in ENDING_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
+
     def heard(self, reactor: Any, reload: Callable[[], None], end: Callable[[], None]) -> None:
         """From now on they are carried out in turns of the reactor; also one that came before."""
         self._give = lambda number: reactor.callFromThread(reload if number == signal.SIGHUP else end)
@@ -411,6 +421,7 @@
     gc.collect()
     gc.freeze()  # what was imported stays: collections need not walk it again and again
     reactor.run(installSignalHandlers=False)
+    signals.ignore()
     if failed:
         log.error("node.failed", why=failed[0])
         return 1
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -5,6 +5,7 @@
 import os
 import resource
 import select
+import shlex
 import signal
 import socket
 import subprocess
@@ -124,9 +125,9 @@
         self.config |= more
         self.file.write_text(json.dumps(self.config))
 
-    def start(self, before: Callable[[], None] | None = None) -> "Manager":
-        run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-        run = run.replace(".venv/bin/python", sys.executable)
+    def start(self, before: Callable[[], None] | None = None, run: str = "") -> "Manager":
+        deployed: str = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        run = run or deployed.replace(".venv/bin/python", sys.executable)
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", run], cwd=ROOT, stderr=subprocess.PIPE, text=True, preexec_fn=before,
             env={**os.environ, "RELAY_CONFIG": str(self.file)})
@@ -234,6 +235,23 @@
         manager.signal(signal.SIGTERM, signal.SIGTERM, signal.SIGINT)
         manager.ends()
 
+    def test_sigterm_again_while_the_interpreter_ends(self) -> None:
+        """Found by the soak (seed 2, "term term"): the log ends with `node.ended`, and the process by the
+        signal in place of exit 0, as the interpreter takes its handlers back before it is gone. What is
+        destroyed last of all sends the second signal here, which is after that."""
+        manager = self.manager()
+        manager.write()
+        late = ("import os, signal, sys\n"
+                "class Late:\n"
+                "    def __del__(self, kill=os.kill, me=os.getpid(), number=signal.SIGTERM):\n"
+                "        kill(me, number)\n"
+                "sys.late = Late()\n"
+                "from rushladder.service.node import main\n"
+                "sys.exit(main())\n")
+        manager.start(run=f"exec {shlex.join([sys.executable, '-c', late])}").logged("node.serves")
+        manager.signal(signal.SIGTERM)
+        manager.ends()
+
     def test_sighup_right_before_sigterm(self) -> None:
         manager, _, _ = self.watching()
         manager.write(discovery=f"127.0.0.1:{Place(self).port}")
