One way of probing, and no circle between the command line and the trials

Need: probes of health were written twice, over an HTTP agent for `run` and over a bare connection for the platform; trials.play imported the command line for one function, and the command line imports the trials.

Change: `run` probes with service/exchange.py too; what is left of probing.py, the HTTP client of discovery's watch, is catalog/client.py. The blocking client of runtime sockets is runtime/client.py.

--- a/rushladder/cli/main.py
+++ b/rushladder/cli/main.py
@@ -4,7 +4,6 @@
 
 import json
 import shutil
-import socket
 import sys
 import tempfile
 from collections.abc import Callable
@@ -15,10 +14,11 @@
 
 from rushladder import __version__
 from rushladder.cli.store import store
-from rushladder.conf.grammar import Address, Faulty, Unreadable, address
+from rushladder.conf.grammar import Faulty, Unreadable, address
 from rushladder.conf.objects import Plan
 from rushladder.conf.reader import read
-from rushladder.runtime.grammar import AnswerParser, AnswerTooLong, Command, split, table, write
+from rushladder.runtime.client import ask
+from rushladder.runtime.grammar import AnswerTooLong, Command, split, table
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -100,24 +100,6 @@
     sys.exit(1 if failed else 0)
 
 
-def ask(where: Address, todo: list[Command], patience: float) -> list[str]:
-    """The answers of a runtime socket to the commands. Raises OSError if it can't be reached or falls
-    silent."""
-    with socket.socket(socket.AF_UNIX if where.path else socket.AF_INET) as wire:
-        wire.settimeout(patience)
-        wire.connect(where.path or (where.host, where.port))
-        parser, answers = AnswerParser(), list[str]()
-        wire.sendall(write([Command(("prompt",))]))
-        for command in todo:
-            wire.sendall(write([command]))
-        while len(answers) < len(todo) + 1:
-            data = wire.recv(65_536)
-            if not data:
-                raise ConnectionError("closed before all answers came")
-            answers += parser.feed(data)
-        return answers[1:]
-
-
 def chart_maker() -> Callable[..., list[Path]]:
     """What draws the charts of a day; prints what to install and leaves with 2 where it is missing."""
     try:
--- a/rushladder/service/exchange.py
+++ b/rushladder/service/exchange.py
@@ -148,3 +148,14 @@
         done.addTimeout(ANSWER_MOST, self._reactor)
         done.addErrback(lambda failure: (ProbeResult.TIMED_OUT, b""))
         return done
+
+
+class HealthProber:
+    """Probes where the result alone counts. within: seconds for a connection."""
+
+    def __init__(self, reactor: Any, path: str, within: float) -> None:
+        self._prober = Prober(reactor, path, False, within)
+
+    def probe(self, address: str) -> Deferred[ProbeResult]:
+        """Its result, by `ANSWER_MOST` at the latest. Never fails."""
+        return self._prober.probe(address).addCallback(lambda found: found[0])
--- a/rushladder/service/node.py
+++ b/rushladder/service/node.py
@@ -35,7 +35,7 @@
 from rushladder.service.exchange import Prober
 from rushladder.service.logs import make_log
 from rushladder.service.notes import Notes
-from rushladder.service.probing import CONNECT_MOST, numeric_agent
+from rushladder.catalog.client import CONNECT_MOST, numeric_agent
 from rushladder.streams.codec import load_report
 from rushladder.streams.front import Front
 from rushladder.streams.host import StreamHost
--- a/rushladder/service/run.py
+++ b/rushladder/service/run.py
@@ -10,6 +10,7 @@
 from twisted.internet import endpoints, reactor as _reactor, threads
 from twisted.internet.defer import Deferred
 
+from rushladder.catalog.client import CONNECT_MOST
 from rushladder.conf.grammar import Address
 from rushladder.conf.objects import GatewaySite, Plan
 from rushladder.dnsfront.ports import Datagrams as DnsDatagrams
@@ -21,9 +22,9 @@
 from rushladder.peers.link import PeerLink
 from rushladder.runtime.endpoint import RuntimeClient, RuntimeFactory
 from rushladder.service.api import verbs
+from rushladder.service.exchange import HealthProber
 from rushladder.service.logs import make_log
 from rushladder.service.manager import Manager
-from rushladder.service.probing import HttpProber
 from rushladder.service.remembering import Remembering
 from rushladder.store.files import Disk, Locked
 from rushladder.store.log import Log, Refused
@@ -37,6 +38,7 @@
 AGENT_STATES = {"ready": Availability.READY, "drain": Availability.DRAINING, "maint": Availability.GONE}
 AT_ONCE = 16 * 1024  # bytes of datagrams read before others have their turn: 1 to 2 ms of questions
 DNS_MOST = 4096  # bytes of a question: eight times what one with every option takes
+HEALTH_PATH = "/health"  # of a collector
 DIAL_MOST = 1.0  # s for a connection to a gateway's socket
 
 
@@ -115,7 +117,7 @@
             plan,
             reactor,
             dial,
-            HttpProber(reactor) if plan.may_probe else None,
+            HealthProber(reactor, HEALTH_PATH, CONNECT_MOST) if plan.may_probe else None,
             log,
             restored,
             away,
--- a/rushladder/trials/play.py
+++ b/rushladder/trials/play.py
@@ -14,8 +14,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from rushladder.cli.main import ask
 from rushladder.conf.grammar import Address
+from rushladder.runtime.client import ask
 from rushladder.runtime.grammar import Command, fields, split
 from rushladder.standins.record import Record
 from rushladder.store.files import Disk
