Withdrawals wait for the sum only where the channel is nearly full or joiners wait

At fault: `Tables._withdraw_left` let drains wait wherever they did not fit into the room of ordinary lines, half of the channel's limit; they went out at once up to nine tenths of it before.

Change: the nine tenths are back, held against the sum of all that waits.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -32,7 +32,7 @@
 
     def __init__(self, channel: Channel, grace: int) -> None:
         # Lines of withdrawals of what left, and of bindings too, that wait: no others before them (rule 3).
-        self.withdrawals, self.owed, self._pending_max = 0.0, 0.0, channel.pending_max
+        self.withdrawals, self.owed, self.pending_max = 0.0, 0.0, channel.pending_max
         self.proxies, self.pace = Proxies(), channel.lines_per_s / SECOND
         self._bound, travels = grace - channel.longest_way, channel.usual_way * self.pace
         self.lines = Lines[Gateway](channel.head + 1, self.pace, travels, channel.pending_max)  # and its mark
@@ -53,7 +53,7 @@
                  owed: float = 0.0) -> bool:
         """Whether `count` lines to each may be sent behind what is `owed`. They drain as they are applied."""
         waiting = self.lines.waiting + self.lines.price(gateways, count) + owed
-        return not self.lines.waiting or waiting <= min(part * self._most, self._pending_max)
+        return not self.lines.waiting or waiting <= min(part * self._most, self.pending_max)
 
     def presses(self, waited: int, lines: float) -> bool:
         """Whether what can wait for the grace has to go now: what has passed, one more beat, the queue with
@@ -494,7 +494,7 @@
         outbox, holders = self._outbox, {server: self._holders(server) for server in left}
         union = {gateway: None for some in holders.values() for gateway in some}
         outbox.withdrawals = outbox.lines.price(union, 0) + sum(len(some) for some in holders.values())
-        if outbox.proxies.unbound or not outbox.has_room((), 0, 1.0, outbox.withdrawals):
+        if outbox.proxies.unbound or outbox.lines.waiting + outbox.withdrawals > 0.9 * outbox.pending_max:
             if not outbox.presses(self._host.now() - left[0].left_at, outbox.owed + outbox.withdrawals):
                 return
             self.join(1.6)  # before them, room or not: behind them they were bound too late
