--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -17,11 +17,10 @@
     LevelUnit, Listing, ListKind, PeerWord, Probed, ProbeResult, Product, Remembered, Reminder, Retry, Tries,
 )
 from rushladder.lines import Lines
-from rushladder.records import (
-    DOZEN, SECOND, SPLIT_TEAMS, Gateway, Proxies, Server, Standing, Table, Teams, backlog,
-)
+from rushladder.records import SECOND, SPLIT_TEAMS, Gateway, Proxies, Server, Standing, Table, Teams, backlog
 from rushladder.ring import Ring
 
+DOZEN = 12  # servers of a whole team
 Sign = Enum("Sign", "LISTED STARTED LEAVING SICK SOUND REACHED")
 Load = Enum("Load", "CALM SHED")
 Heat = Enum("Heat", "HOT MILD COOL")
@@ -411,7 +410,7 @@
             for table in self._tables[key] if many[key] else ():
                 self._leave_out(table, many[key])
             many[key] = 0
-            cost = sum(table.binding() for table in self._tables[key])
+            cost = sum(table.binding(DOZEN) for table in self._tables[key])
             if self._outbox.has_room([gateway], cost, part, withdrawals):
                 del unbound[gateway]
                 gateway.tables = self._tables[key]
@@ -477,7 +476,7 @@
         outbox, servers = self._outbox, self._fleet.servers
         left = sorted((s for s in servers if s.standing is Standing.LEFT and s.told is Standing.SERVING),
                       key=lambda server: server.left_at)
-        outbox.owed, outbox.withdrawals = self._teams.bindings(outbox.lines), 0.0
+        outbox.owed, outbox.withdrawals = self._teams.bindings(outbox.lines, DOZEN), 0.0
         if left:
             self._withdraw_left(left)
             outbox.owed += outbox.withdrawals
@@ -499,7 +498,7 @@
                 return
             self.join(1.6)  # before them, room or not: behind them they were bound too late
             holders = {server: self._holders(server) for server in left}
-            outbox.owed = self._teams.bindings(outbox.lines)
+            outbox.owed = self._teams.bindings(outbox.lines, DOZEN)
         outbox.withdrawals = 0.0
         for server in left:
             if outbox.lines.fits(holders[server]):
@@ -707,7 +706,7 @@
     def _joined(self, event: Joined[Gateway]) -> None:
         gateway = event.proxy
         self._left(Left(gateway))  # it may come again before its break was noticed
-        gateway.begin(self._host.now(), self._products, event.keeps)
+        gateway.begin(self._host.now(), self._products, event.keeps, 12)
         self._tables.assign(gateway)
         self._outbox.proxies.join(gateway)
         self._fleet.reached(gateway.zone)  # a zone withdrawn as cut off serves its own proxies at once
--- a/rushladder/records.py
+++ b/rushladder/records.py
@@ -12,9 +12,7 @@
 from rushladder.ring import Ring
 
 SECOND = 10_000  # tenths of a millisecond
-DOZEN = 12  # servers of a whole team
 SPLIT_TEAMS = 1_000  # the number of the first split team: beyond those of 12,000 servers in a zone
-SERVER_BUCKETS, PROXY_BUCKETS = 12, 12  # seconds of reports that are kept
 
 
 class Standing(Enum):
@@ -56,12 +54,13 @@
 class Gateway(Proxy):
     """A joined proxy: its team, its tables, and what came to it."""
 
-    def begin(self, now: int, products: Sequence[Product], keeps: bool) -> None:
+    def begin(self, now: int, products: Sequence[Product], keeps: bool, seconds: int) -> None:
+        """It joins anew. seconds: of reports that are kept."""
         self.joined_at, self.team, self.tables = now, 0, list[Table]()
         self.keeps = keeps  # what a former manager withdrew at it
         self.let_back = dict[Server, None]()  # whatever that manager had withdrawn
         self.counted = self.usual_rate  # in its team's sum: the proxy may name another rate as it comes again
-        self.came = {product: Ring(SECOND, PROXY_BUCKETS, 2) for product in products}  # many, time covered
+        self.came = {product: Ring(SECOND, seconds, 2) for product in products}  # many, time covered
         self.rates, self.rated = dict[Product, float](), (-1, 0)  # when they were worked out
 
 
@@ -79,9 +78,10 @@
         self.gateways, self.gates = dict[Gateway, None](), dict[Product, float]()
         self.want, self.wanted, self.lines = 0.0, dict[Server, float](), dict[Server, float]()
 
-    def binding(self) -> float:
-        """Lines of a binding to it; levels that are alike are told in one."""
-        return 1 + (len(self.lines) or DOZEN / self.split) + len(set(self.gates.values()))
+    def binding(self, whole: int) -> float:
+        """Lines of a binding to it; levels that are alike are told in one. whole: of a whole team's table, as
+        long as this one is not planned."""
+        return 1 + (len(self.lines) or whole / self.split) + len(set(self.gates.values()))
 
 
 class Proxies:
@@ -172,11 +172,11 @@
                 table.index, table.split = index, split
         return teams
 
-    def bindings(self, lines: Lines[Gateway]) -> float:
-        """Lines of all bindings that wait."""
+    def bindings(self, lines: Lines[Gateway], whole: int) -> float:
+        """Lines of all bindings that wait. whole: as for one of them."""
         heads = lines.price(self._proxies.unbound, 0)
         return heads + sum(
-            many * sum(table.binding() for table in self.tables.get(key, ()))
+            many * sum(table.binding(whole) for table in self.tables.get(key, ()))
             for key, many in self._proxies.unbound_by_team().items()
         )
 
