--- a/benchmarks/crashes.py
+++ b/benchmarks/crashes.py
@@ -1,7 +1,7 @@
 """The long run of the crash-point explorer, outside CI: longer lives, more seeds, and a writer that is
 killed hundreds of times on a real folder.
 
-python -m benchmarks.crashes --seeds 20 --kills 300 """
+python -m benchmarks.crashes --seeds 20 --kills 300"""
 
 from __future__ import annotations
 
--- a/benchmarks/restart.py
+++ b/benchmarks/restart.py
@@ -3,7 +3,7 @@
 
 Managers and gateways in memory on a virtual clock; one of a region's servers is three times slower than
 listed. The figure is how long after the start the part of that server stays off what it was before, by more
-than a tenth of an even part, added up over all gateways and products (parts x seconds). """
+than a tenth of an even part, added up over all gateways and products (parts x seconds)."""
 
 from __future__ import annotations
 
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -1,6 +1,6 @@
 """What keeping costs: records a second and the time of a batch, against one JSON file that is rewritten and
 renamed; reading back by size; and how long a compaction takes. Everything on the folder that is given, with
-real syncs. """
+real syncs."""
 
 from __future__ import annotations
 
--- a/rushladder/catalog/reader.py
+++ b/rushladder/catalog/reader.py
@@ -22,8 +22,13 @@
 MOST = 10_000  # workers: ten times the largest deployment wished for
 # What each field has to be. Text that goes out again in orders must not hold their separators.
 FIELDS: Mapping[str, Callable[[Any], bool]] = {
-    "id": lambda value: isinstance(value, str) and value.isascii() and value.isprintable() and bool(value)
-    and not set(value) & set(" ,:+="),
+    "id": lambda value: (
+        isinstance(value, str)
+        and value.isascii()
+        and value.isprintable()
+        and bool(value)
+        and not set(value) & set(" ,:+=")
+    ),
     "addr": lambda value: isinstance(value, str) and value.rpartition(":")[2].isdigit(),
     "zone": lambda value: isinstance(value, str),
     "kind": lambda value: isinstance(value, str),
@@ -51,8 +56,9 @@
 class Catalog:
     """The list as last told. place: a Unix time in milliseconds on the module's clock, in tenths of one."""
 
-    def __init__(self, workers: Workers, place: Callable[[float], int],
-                 note: Callable[[str, str], None]) -> None:
+    def __init__(
+        self, workers: Workers, place: Callable[[float], int], note: Callable[[str, str], None]
+    ) -> None:
         self._workers, self._place, self._note = workers, place, note
         self.version, self.known, self.began = 0, dict[str, Known](), False
 
@@ -112,10 +118,20 @@
         known, name = self.known.get(one["id"]), one["id"]
         # Placed once: the same start must not look like another one when the clocks have drifted apart.
         same = known is not None and known.started_ms == one["started_ms"]
-        started_at = known.entry.started_at if known is not None and same else (
-            self._place(one["started_ms"]) if one["started_ms"] else 0)
-        entry = self._workers.entry(name, one["zone"], one["kind"], one["cell"], STATES[one["state"]],
-                                    float(one["weight"]), started_at)
+        started_at = (
+            known.entry.started_at
+            if known is not None and same
+            else (self._place(one["started_ms"]) if one["started_ms"] else 0)
+        )
+        entry = self._workers.entry(
+            name,
+            one["zone"],
+            one["kind"],
+            one["cell"],
+            STATES[one["state"]],
+            float(one["weight"]),
+            started_at,
+        )
         if entry.availability is Availability.GONE:
             self.known.pop(name, None)
         elif known is not None or len(self.known) < MOST:
--- a/rushladder/catalog/watch.py
+++ b/rushladder/catalog/watch.py
@@ -43,8 +43,16 @@
 class Watch:
     """One watch at a time. give: takes a listing for the next batch; draw: from [0, 1), for the jitter."""
 
-    def __init__(self, agent: Any, address: str, catalog: Catalog, clock: Clock, draw: Callable[[], float],
-                 give: Callable[[Event], None], note: Callable[[str, str], None]) -> None:
+    def __init__(
+        self,
+        agent: Any,
+        address: str,
+        catalog: Catalog,
+        clock: Clock,
+        draw: Callable[[], float],
+        give: Callable[[Event], None],
+        note: Callable[[str, str], None],
+    ) -> None:
         self._agent, self._address, self._catalog, self._clock = agent, address, catalog, clock
         self._draw, self._give, self.note = draw, give, note
         self._body: _Body | None = None
--- a/rushladder/conf/birth.py
+++ b/rushladder/conf/birth.py
@@ -42,21 +42,30 @@
         "zones": tuple(str(zone) for zone in boot["azs"]),
         "products": _products(boot["lanes"], fam),
         "channel": Channel(
-            lines_per_s=_above_0(fam, "egress_per_s"), pending_max=float(fam["pending_max"]),
-            head=float(fam["head"]), message_cap=int(fam.get("update_cap", 0)),
-            cap_span=tenths(fam.get("counted_over", 0)), usual_way=tenths(fam["propagation"]),
-            longest_way=tenths(fam["push_delay_max"])),
+            lines_per_s=_above_0(fam, "egress_per_s"),
+            pending_max=float(fam["pending_max"]),
+            head=float(fam["head"]),
+            message_cap=int(fam.get("update_cap", 0)),
+            cap_span=tenths(fam.get("counted_over", 0)),
+            usual_way=tenths(fam["propagation"]),
+            longest_way=tenths(fam["push_delay_max"]),
+        ),
         "guarantee": Guarantee(
-            bare=tenths(fam["bare"]), drain_grace=tenths(rules["drain_grace"]),
-            cold_time=tenths(rules["cold"]), cold_from=float(rules["cold_from"]),
-            fall_multiple=float(rules["overload_factor"]), fall_for=tenths(rules["overload_for"]),
+            bare=tenths(fam["bare"]),
+            drain_grace=tenths(rules["drain_grace"]),
+            cold_time=tenths(rules["cold"]),
+            cold_from=float(rules["cold_from"]),
+            fall_multiple=float(rules["overload_factor"]),
+            fall_for=tenths(rules["overload_for"]),
             ask_within=tenths(rules.get("ask_within", 0)),
-            dropped_stay_open=bool(rules.get("dropped_stay_open", False))),
+            dropped_stay_open=bool(rules.get("dropped_stay_open", False)),
+        ),
         "level_unit": UNITS[fam["throttle_by"]],
         "asks_list": boot["membership_mode"] == "subscribe",
         "may_probe": bool(limits["probes"]),
         "may_tell": bool(limits["may_tell"]),
-        "slices": int(fam["key_ranges"]), "usual": Retry(int(fam.get("base_mode", 0))),
+        "slices": int(fam["key_ranges"]),
+        "usual": Retry(int(fam.get("base_mode", 0))),
     }
 
 
@@ -73,10 +82,18 @@
     bound = fam.get("zone_bound") or [False] * len(lanes)
     return tuple(
         Product(
-            name=str(lane["name"]), sla_time=tenths(lane["target"]), expiry=tenths(lane["deadline"]),
-            rev=float(lane["points"]), late_part=float(lane.get("late_worth", 0.0)),
-            repeat=REPEATS[lane["idempotency"]], group=str(lane.get("group", "all")),
-            window=tenths(lane.get("repeat_window", 0)), writes=bool(writers[place]),
-            home_only=bool(bound[place]), models=frozenset(lane.get("only_kinds") or ()),
-            zones=frozenset(lane.get("only_zones") or ()))
-        for place, lane in enumerate(lanes))
+            name=str(lane["name"]),
+            sla_time=tenths(lane["target"]),
+            expiry=tenths(lane["deadline"]),
+            rev=float(lane["points"]),
+            late_part=float(lane.get("late_worth", 0.0)),
+            repeat=REPEATS[lane["idempotency"]],
+            group=str(lane.get("group", "all")),
+            window=tenths(lane.get("repeat_window", 0)),
+            writes=bool(writers[place]),
+            home_only=bool(bound[place]),
+            models=frozenset(lane.get("only_kinds") or ()),
+            zones=frozenset(lane.get("only_zones") or ()),
+        )
+        for place, lane in enumerate(lanes)
+    )
--- a/rushladder/core/workers.py
+++ b/rushladder/core/workers.py
@@ -21,8 +21,16 @@
     def get(self, name: str) -> Server | None:
         return self._by_name.get(name)
 
-    def entry(self, name: str, zone: str, model: str, cell: int, availability: Availability, size: float,
-              started_at: int) -> Entry[Server]:
+    def entry(
+        self,
+        name: str,
+        zone: str,
+        model: str,
+        cell: int,
+        availability: Availability,
+        size: float,
+        started_at: int,
+    ) -> Entry[Server]:
         """An entry of the list. `started_at`: tenths of a millisecond on the host's clock; 0: long ago."""
         worker = self._by_name.get(name)
         if worker is None:
--- a/rushladder/interface.py
+++ b/rushladder/interface.py
@@ -86,9 +86,11 @@
 
     def open_to(self, worker: Worker, zone: str) -> bool:
         """Whether it may go there from a proxy of that zone."""
-        return ((not self.models or worker.model in self.models)
-                and (not self.zones or worker.zone in self.zones)
-                and (not self.home_only or worker.zone == zone))
+        return (
+            (not self.models or worker.model in self.models)
+            and (not self.zones or worker.zone in self.zones)
+            and (not self.home_only or worker.zone == zone)
+        )
 
 
 @dataclass(eq=False)
@@ -269,8 +271,19 @@
 
 
 Event = (
-    Listing[Any] | Reminder | Probed[Any] | PeerWord | Joined[Any] | Left[Any] | Tries[Any] | Arrivals[Any]
-    | Applied[Any] | SliceGiven | SliceLine[Any] | SliceArrivals | Remembered[Any]
+    Listing[Any]
+    | Reminder
+    | Probed[Any]
+    | PeerWord
+    | Joined[Any]
+    | Left[Any]
+    | Tries[Any]
+    | Arrivals[Any]
+    | Applied[Any]
+    | SliceGiven
+    | SliceLine[Any]
+    | SliceArrivals
+    | Remembered[Any]
 )
 
 
--- a/rushladder/peers/bare.py
+++ b/rushladder/peers/bare.py
@@ -17,8 +17,14 @@
     """peers: an address for each manager by its number, our own among them; everyone: the one that reaches
     all. heard: takes a peer's number and bytes."""
 
-    def __init__(self, me: int, peers: Sequence[Place], everyone: Place | None,
-                 heard: Callable[[int, bytes], None], note: Callable[[str, str], None]) -> None:
+    def __init__(
+        self,
+        me: int,
+        peers: Sequence[Place],
+        everyone: Place | None,
+        heard: Callable[[int, bytes], None],
+        note: Callable[[str, str], None],
+    ) -> None:
         self._me, self._peers, self._everyone, self._heard, self._note = me, peers, everyone, heard, note
         self._numbers = {place: number for number, place in enumerate(peers)}
 
--- a/rushladder/records.py
+++ b/rushladder/records.py
@@ -71,8 +71,9 @@
     index, split: which of the zone's servers are the team's own; a split team has that part of a whole one's.
     """
 
-    def __init__(self, number: int, zone: str, team: int, products: Sequence[Product], index: int,
-                 split: int) -> None:
+    def __init__(
+        self, number: int, zone: str, team: int, products: Sequence[Product], index: int, split: int
+    ) -> None:
         self.number, self.zone, self.team, self.products = number, zone, team, products
         self.index, self.split = index, split
         self.gateways, self.gates = dict[Gateway, None](), dict[Product, float]()
@@ -110,14 +111,18 @@
         self.joined[gateway] = self.unbound[gateway] = None
         self._zones.setdefault(gateway.zone, {})[gateway] = None
         self._usual_rates[gateway.zone, gateway.team] = (
-            self.usual_rate(gateway.zone, gateway.team) + gateway.counted)
+            self.usual_rate(gateway.zone, gateway.team) + gateway.counted
+        )
 
     def leave(self, gateway: Gateway) -> None:
         self._members[gateway.zone, gateway.team] -= 1
         self._usual_rates[gateway.zone, gateway.team] -= gateway.counted
         self.unbound.pop(gateway, None)
-        for holders in (self.joined, self._zones[gateway.zone],
-                        *(table.gateways for table in gateway.tables)):
+        for holders in (
+            self.joined,
+            self._zones[gateway.zone],
+            *(table.gateways for table in gateway.tables),
+        ):
             del holders[gateway]
 
 
@@ -143,8 +148,10 @@
         if (zone, team) not in self.tables:
             first = len(self.tables) * len(self._groups)
             index, split = self._parts.get((zone, team), (team, 1))
-            self.tables[zone, team] = [Table(first + place, zone, team, group, index, split)
-                                       for place, group in enumerate(self._groups)]
+            self.tables[zone, team] = [
+                Table(first + place, zone, team, group, index, split)
+                for place, group in enumerate(self._groups)
+            ]
 
     def open(self, zone: str, split: int) -> list[int]:
         """The zone's teams of that split to which joiners are dealt, if their tables are still short."""
@@ -155,8 +162,9 @@
     def open_new(self, zone: str, split: int, many: int) -> list[int]:
         """So many teams of that split under numbers that no proxy has."""
         taken = {team for (other, _), teams in self._open.items() if other == zone for team in teams}
-        free = (team for team in count(SPLIT_TEAMS)
-                if team not in taken and not self._proxies.members(zone, team))
+        free = (
+            team for team in count(SPLIT_TEAMS) if team not in taken and not self._proxies.members(zone, team)
+        )
         teams = self._open[zone, split] = list(islice(free, many))
         for index, team in enumerate(teams):
             self._parts[zone, team] = index, split
@@ -167,14 +175,17 @@
     def bindings(self, lines: Lines[Gateway]) -> float:
         """Lines of all bindings that wait."""
         heads = lines.price(self._proxies.unbound, 0)
-        return heads + sum(many * sum(table.binding() for table in self.tables.get(key, ()))
-                           for key, many in self._proxies.unbound_by_team().items())
+        return heads + sum(
+            many * sum(table.binding() for table in self.tables.get(key, ()))
+            for key, many in self._proxies.unbound_by_team().items()
+        )
 
 
 def backlog(now: int, proxies: Proxies, servers: Collection[Server], lines: Lines[Gateway]) -> Backlog:
     """What a manager with these records still has to order."""
     joiner_waited = next((now - gateway.joined_at for gateway in proxies.unbound), 0)
-    not_told = (server for server in servers
-                if server.standing is Standing.LEFT and server.told is Standing.SERVING)
+    not_told = (
+        server for server in servers if server.standing is Standing.LEFT and server.told is Standing.SERVING
+    )
     withdrawal_waited = max((now - server.left_at for server in not_told), default=0)
     return Backlog(len(proxies.unbound), joiner_waited, withdrawal_waited, round(lines.waiting))
--- a/rushladder/ring.py
+++ b/rushladder/ring.py
@@ -30,6 +30,7 @@
         """Sums over the newest `buckets`, the one of `now` included."""
         newest = now // self._width
         oldest = newest - buckets
-        found = [cell for stamp, cell in zip(self._stamps, self._cells, strict=True)
-                 if oldest < stamp <= newest]
+        found = [
+            cell for stamp, cell in zip(self._stamps, self._cells, strict=True) if oldest < stamp <= newest
+        ]
         return [sum(column) for column in zip(self._zero, *found, strict=True)]
--- a/rushladder/service/exchange.py
+++ b/rushladder/service/exchange.py
@@ -140,8 +140,10 @@
                 late = failure.check(error.TimeoutError, CancelledError)
                 done.callback((ProbeResult.TIMED_OUT if late else ProbeResult.UNREACHABLE, b""))
 
+        factory: Any = _Dial(wire)
         dial = endpoints.TCP4ClientEndpoint(self._reactor, host, int(port), timeout=self._within).connect(
-            _Dial(wire))  # type: ignore[arg-type]
+            factory
+        )
         dial.addErrback(undialled)
         done.addTimeout(ANSWER_MOST, self._reactor)
         done.addErrback(lambda failure: (ProbeResult.TIMED_OUT, b""))
--- a/rushladder/service/node.py
+++ b/rushladder/service/node.py
@@ -153,21 +153,34 @@
         name=str(raw.get("name") or environment.get(NAME, "")),
         listen=_place(raw.get("listen") or environment.get(LISTEN), "listen"),
         discovery=_place(raw.get("discovery") or environment.get(DISCOVERY), "discovery"),
-        seed=seed, sockets=sockets, me=me, proxies=proxies,
+        seed=seed,
+        sockets=sockets,
+        me=me,
+        proxies=proxies,
         peer_listen=_place(raw["peer_listen"], "peer_listen") if raw.get("peer_listen") else None,
         peers=tuple(_place(peer, "peers") for peer in peers),
         peers_all=_place(raw["peers_all"], "peers_all") if raw.get("peers_all") else None,
-        known=raw.get("known"), described=described, report=report, reported=fields,
+        known=raw.get("known"),
+        described=described,
+        report=report,
+        reported=fields,
         connect=_connect_within(connect_timeout),
-        given={name: value for name, value in raw.items() if name not in AT_RELOAD})
+        given={name: value for name, value in raw.items() if name not in AT_RELOAD},
+    )
 
 
 class Node:
     """One manager and its sockets. monotonic, wall: seconds; the module's clock is the first, which never
     runs backwards, and the second only places the workers' starts on it."""
 
-    def __init__(self, site: Site, reactor: Any, log: Any, monotonic: Callable[[], float] = time.monotonic,
-                 wall: Callable[[], float] = time.time) -> None:
+    def __init__(
+        self,
+        site: Site,
+        reactor: Any,
+        log: Any,
+        monotonic: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
         self.site, self._reactor, self._log = site, reactor, log
         self._monotonic, self._wall, self._zero = monotonic, wall, monotonic()
         self.notes = Notes(log, reactor)
@@ -188,11 +201,26 @@
         self.catalog = Catalog(self.workers, self.placed, self.notes.note)
         self.host = StreamHost(site.seed, site.described, self.now(), self._probe, self.words.tell)
         self._first_list()
-        self.watch = Watch(agent, f"{site.discovery[0]}:{site.discovery[1]}", self.catalog, reactor, draw,
-                           self.give, self.notes.note)
-        self.front = Front(self.host, self.workers, reactor, tuple(site.described["zones"]), site.proxies,
-                           site.reported, max(1, site.sockets - RESERVE - site.probes), self.give,
-                           self.notes.note)
+        self.watch = Watch(
+            agent,
+            f"{site.discovery[0]}:{site.discovery[1]}",
+            self.catalog,
+            reactor,
+            draw,
+            self.give,
+            self.notes.note,
+        )
+        self.front = Front(
+            self.host,
+            self.workers,
+            reactor,
+            tuple(site.described["zones"]),
+            site.proxies,
+            site.reported,
+            max(1, site.sockets - RESERVE - site.probes),
+            self.give,
+            self.notes.note,
+        )
 
     def _first_list(self) -> None:
         """Steers by the list as it was before the start until discovery is heard."""
@@ -212,10 +240,16 @@
         if self._traced:
             self._trace()
         # All proxies may dial at once; past the kernel's own bound a larger figure changes nothing.
-        self._reactor.listenTCP(site.listen[1], self.front, backlog=max(1024, 2 * site.proxies),
-                                interface=site.listen[0])
-        self._log.info("node.serves", name=site.name, workers=len(self.catalog.known), proxies=site.proxies,
-                       places=self.front.places)
+        self._reactor.listenTCP(
+            site.listen[1], self.front, backlog=max(1024, 2 * site.proxies), interface=site.listen[0]
+        )
+        self._log.info(
+            "node.serves",
+            name=site.name,
+            workers=len(self.catalog.known),
+            proxies=site.proxies,
+            places=self.front.places,
+        )
 
     # Time.
 
@@ -242,8 +276,10 @@
         if due is not None:
             self._late = max(self._late, (self.now() - due) / TENTHS)
         backlog = self.host.manager.backlog()
-        self._waited = [max(self._waited[0], backlog.joiner_waited),
-                        max(self._waited[1], backlog.withdrawal_waited)]
+        self._waited = [
+            max(self._waited[0], backlog.joiner_waited),
+            max(self._waited[1], backlog.withdrawal_waited),
+        ]
         self._close()
 
     def _take(self, batch: list[Event]) -> None:
@@ -310,12 +346,22 @@
     def _figures(self) -> None:
         self._reactor.callLater(PERIOD, self._figures)
         self._log.info(
-            "figures", streams=len(self.host.ports), strangers=len(self.front.strangers),
-            version=self.catalog.version, listed=len(self.catalog.known), workers=len(self.workers),
-            list_age=round(self._reactor.seconds() - self.watch.heard_at, 1), descriptors=_descriptors(),
-            rss_mb=_rss_mb(), late_ms=round(1000 * self._late), slow_ms=round(1000 * self._slow),
-            lines=self.host.lines, messages=self.host.messages, faults=self.notes.totals(),
-            **({} if self._traced else self._channel()))
+            "figures",
+            streams=len(self.host.ports),
+            strangers=len(self.front.strangers),
+            version=self.catalog.version,
+            listed=len(self.catalog.known),
+            workers=len(self.workers),
+            list_age=round(self._reactor.seconds() - self.watch.heard_at, 1),
+            descriptors=_descriptors(),
+            rss_mb=_rss_mb(),
+            late_ms=round(1000 * self._late),
+            slow_ms=round(1000 * self._slow),
+            lines=self.host.lines,
+            messages=self.host.messages,
+            faults=self.notes.totals(),
+            **({} if self._traced else self._channel()),
+        )
         self._late = self._slow = 0.0
 
     def _channel(self) -> dict[str, Any]:
@@ -324,10 +370,15 @@
         joiner, withdrawal = self._waited
         self._waited = [0, 0]
         return {
-            "written": dict(written.lines), "heads": written.messages, "queue": written.queue,
-            "queue_most": written.queue_most, "counted": backlog.lines, "unbound": backlog.unbound,
+            "written": dict(written.lines),
+            "heads": written.messages,
+            "queue": written.queue,
+            "queue_most": written.queue_most,
+            "counted": backlog.lines,
+            "unbound": backlog.unbound,
             "joiner_ms": max(joiner, backlog.joiner_waited) // 10,
-            "withdrawal_ms": max(withdrawal, backlog.withdrawal_waited) // 10}
+            "withdrawal_ms": max(withdrawal, backlog.withdrawal_waited) // 10,
+        }
 
     def _trace(self) -> None:
         self._reactor.callLater(TRACE_PERIOD, self._trace)
@@ -400,7 +451,8 @@
 
     notes = Notes(log, reactor)
     globalLogBeginner.beginLoggingTo(
-        [provider(ILogObserver)(observe)], redirectStandardIO=False, discardBuffer=True)
+        [provider(ILogObserver)(observe)], redirectStandardIO=False, discardBuffer=True
+    )
     node = Node(site, reactor, log)
     failed = list[str]()
 
--- a/rushladder/service/remembering.py
+++ b/rushladder/service/remembering.py
@@ -122,9 +122,7 @@
             at = now - PER_MS * max(0, wall - memory.at)
             factors = {(one.product, one.server): one.factor for one in memory.factors}
             state = "taken back: the manager was started anew" if memory.waving else memory.state
-            versions.append(
-                Version(memory.number, memory.parent, memory.who, memory.why, at, factors, state)
-            )
+            versions.append(Version(memory.number, memory.parent, memory.who, memory.why, at, factors, state))
             if memory.stands:
                 stands = memory.parent if memory.waving else memory.number
         refused = [
@@ -179,9 +177,7 @@
             memory = RefusedMemory(at=self.now(), who=refused.who, what=refused.what)
             self._put(Kind.REFUSED, str(self._refused % 200), memory)
 
-    def period(
-        self, learned: Remembered[Any], roster: Roster, warden: Warden, desk: Desk, now: int
-    ) -> None:
+    def period(self, learned: Remembered[Any], roster: Roster, warden: Warden, desk: Desk, now: int) -> None:
         """Once a period: what has moved enough to be worth a record."""
         wall = self.now()
         servers = [
--- a/rushladder/store/commands.py
+++ b/rushladder/store/commands.py
@@ -124,9 +124,7 @@
         """Forgets what is too old or too much; the ids that are gone."""
         done = [name for name, noted in self._noted.items() if noted.state is not State.RUNNING]
         over = max(0, len(self._noted) - COMMANDS)
-        gone = [
-            name for k, name in enumerate(done) if k < over or now - self._noted[name].at >= COMMAND_ENDS
-        ]
+        gone = [name for k, name in enumerate(done) if k < over or now - self._noted[name].at >= COMMAND_ENDS]
         for name in gone:
             del self._noted[name]
         return gone
--- a/rushladder/streams/account.py
+++ b/rushladder/streams/account.py
@@ -63,6 +63,9 @@
         """The figures, which begin anew."""
         figures = ChannelFigures(
             {purpose.value: round(count) for purpose, count in self._lines.items() if count},
-            self._messages, round(self.queue(now)), round(self._most))
+            self._messages,
+            round(self.queue(now)),
+            round(self._most),
+        )
         self._lines, self._messages, self._most = dict.fromkeys(Purpose, 0.0), 0, self._queue
         return figures
--- a/rushladder/streams/codec.py
+++ b/rushladder/streams/codec.py
@@ -155,17 +155,45 @@
 KINDS: Mapping[bytes, tuple[Callable[..., Message], tuple[tuple[str, Callable[[str], Any], Any], ...]]] = {
     b"PING": (Ping, ()),
     b"SOURCE": (Source, (("zone", _name, attrs.NOTHING),)),
-    b"SUBSCRIBE": (Subscribe, (("proxy", NUMBER, attrs.NOTHING), ("zone", _name, attrs.NOTHING),
-                               ("weight", _number, attrs.NOTHING), ("fresh", _yes, False))),
-    b"LOAD": (Load, (("zone", _name, attrs.NOTHING), ("server", _name, attrs.NOTHING),
-                     ("tries", MANY, attrs.NOTHING), ("failed", MANY, attrs.NOTHING),
-                     ("mean_ms", _span, attrs.NOTHING), ("span_ms", _covered, attrs.NOTHING),
-                     ("load", _load, {}))),
-    b"RATE": (Rate, (("proxy", NUMBER, attrs.NOTHING), ("class", _name, attrs.NOTHING),
-                     ("tries", MANY, attrs.NOTHING), ("failed", MANY, attrs.NOTHING),
-                     ("span_ms", _covered, attrs.NOTHING))),
-    b"ACK": (Ack, (("proxy", NUMBER, attrs.NOTHING), ("mark", NUMBER, attrs.NOTHING),
-                   ("took_ms", _span, attrs.NOTHING))),
+    b"SUBSCRIBE": (
+        Subscribe,
+        (
+            ("proxy", NUMBER, attrs.NOTHING),
+            ("zone", _name, attrs.NOTHING),
+            ("weight", _number, attrs.NOTHING),
+            ("fresh", _yes, False),
+        ),
+    ),
+    b"LOAD": (
+        Load,
+        (
+            ("zone", _name, attrs.NOTHING),
+            ("server", _name, attrs.NOTHING),
+            ("tries", MANY, attrs.NOTHING),
+            ("failed", MANY, attrs.NOTHING),
+            ("mean_ms", _span, attrs.NOTHING),
+            ("span_ms", _covered, attrs.NOTHING),
+            ("load", _load, {}),
+        ),
+    ),
+    b"RATE": (
+        Rate,
+        (
+            ("proxy", NUMBER, attrs.NOTHING),
+            ("class", _name, attrs.NOTHING),
+            ("tries", MANY, attrs.NOTHING),
+            ("failed", MANY, attrs.NOTHING),
+            ("span_ms", _covered, attrs.NOTHING),
+        ),
+    ),
+    b"ACK": (
+        Ack,
+        (
+            ("proxy", NUMBER, attrs.NOTHING),
+            ("mark", NUMBER, attrs.NOTHING),
+            ("took_ms", _span, attrs.NOTHING),
+        ),
+    ),
 }
 # Kinds of the protocol that are a manager's to say; heard from others they are readable and of no use.
 OURS = frozenset({b"CONFIG", b"PONG", b"NACK"})
@@ -221,9 +249,11 @@
         found = [line.removesuffix(b"\r") for line in lines]
         # A rest is judged before its end comes, as some never ends: by its length, its bytes and its kind.
         head = self._rest.removesuffix(b"\r")
-        kind = head[:LONGEST_KIND + 1].split(b" ")[0]
-        known = any(word.startswith(kind) if b" " not in head[:LONGEST_KIND + 1] else word == kind
-                    for word in (*KINDS, *OURS))
+        kind = head[: LONGEST_KIND + 1].split(b" ")[0]
+        known = any(
+            word.startswith(kind) if b" " not in head[: LONGEST_KIND + 1] else word == kind
+            for word in (*KINDS, *OURS)
+        )
         if len(head) > self.most or ODD.search(head) or (head and not known):
             raise Unreadable("a message that can't end well", found)
         if any(len(line) > self.most for line in found):
@@ -236,9 +266,15 @@
     return f"{value:.6f}".rstrip("0").rstrip(".")
 
 
-def config(products: Sequence[str] = (), replace: bool = False, rows: Sequence[tuple[str, float]] = (),
-           gate: tuple[float, int] | None = None, drop: Sequence[str] = (), undrop: Sequence[str] = (),
-           stamp: int | None = None) -> str:
+def config(
+    products: Sequence[str] = (),
+    replace: bool = False,
+    rows: Sequence[tuple[str, float]] = (),
+    gate: tuple[float, int] | None = None,
+    drop: Sequence[str] = (),
+    undrop: Sequence[str] = (),
+    stamp: int | None = None,
+) -> str:
     """One part of an order, without its ending. `gate`: the level and the way of trying again."""
     words = ["CONFIG"]
     if products:
@@ -260,5 +296,7 @@
 
 def whole(parts: Sequence[str]) -> bytes:
     """The parts of one message, each but the last saying that another follows."""
-    return b"".join(part.encode() + (b" part=1" if place < len(parts) else b"") + ENDING
-                    for place, part in enumerate(parts, 1))
+    return b"".join(
+        part.encode() + (b" part=1" if place < len(parts) else b"") + ENDING
+        for place, part in enumerate(parts, 1)
+    )
--- a/rushladder/streams/front.py
+++ b/rushladder/streams/front.py
@@ -11,7 +11,18 @@
 from rushladder.core.workers import Workers
 from rushladder.interface import Applied, Arrivals, Event, Product, Tries
 from rushladder.streams.codec import (
-    NACK, PONG, Ack, Load, Ping, Rate, Reader, Source, Spoilt, Subscribe, Unreadable, read_line,
+    NACK,
+    PONG,
+    Ack,
+    Load,
+    Ping,
+    Rate,
+    Reader,
+    Source,
+    Spoilt,
+    Subscribe,
+    Unreadable,
+    read_line,
 )
 from rushladder.streams.host import Port, StreamHost
 from rushladder.timing import Clock
@@ -133,8 +144,9 @@
         if message.zone not in self.front.zones or server is None:
             return self._spoilt(Spoilt("LOAD", "a zone or worker that does not exist"))
         told = {name: value for name, value in message.load.items() if name in self.front.reported}
-        self.front.give(Tries(server, message.zone, message.tries, message.failed, message.span, message.mean,
-                              told))
+        self.front.give(
+            Tries(server, message.zone, message.tries, message.failed, message.span, message.mean, told)
+        )
 
     def _rate(self, message: Rate) -> None:
         product = self.front.products.get(message.product)
@@ -169,9 +181,17 @@
     (State.STREAM, Ack): (State.STREAM, Talk._ack),
     **{(state, Ping): (state, Talk._pong) for state in (State.COLLECTOR, State.STREAM)},
     **{(state, Spoilt): (state, Talk._spoilt) for state in (State.COLLECTOR, State.STREAM)},
-    **{(state, kind): (state, Talk._stray) for state, kind in (
-        (State.COLLECTOR, Source), (State.COLLECTOR, Subscribe), (State.COLLECTOR, Ack),
-        (State.STREAM, Source), (State.STREAM, Subscribe), (State.STREAM, Load))},
+    **{
+        (state, kind): (state, Talk._stray)
+        for state, kind in (
+            (State.COLLECTOR, Source),
+            (State.COLLECTOR, Subscribe),
+            (State.COLLECTOR, Ack),
+            (State.STREAM, Source),
+            (State.STREAM, Subscribe),
+            (State.STREAM, Load),
+        )
+    },
 }
 
 
@@ -183,9 +203,18 @@
     bounds.
     """
 
-    def __init__(self, host: StreamHost, workers: Workers, clock: Clock, zones: tuple[str, ...], proxies: int,
-                 reported: frozenset[str], places: int, give: Callable[[Event], None],
-                 note: Callable[[str, str], None]) -> None:
+    def __init__(
+        self,
+        host: StreamHost,
+        workers: Workers,
+        clock: Clock,
+        zones: tuple[str, ...],
+        proxies: int,
+        reported: frozenset[str],
+        places: int,
+        give: Callable[[Event], None],
+        note: Callable[[str, str], None],
+    ) -> None:
         self.host, self.workers, self.clock, self.zones, self.proxies = host, workers, clock, zones, proxies
         self.reported, self.places, self.give, self.note = reported, places, give, note
         self.products: dict[str, Product] = {product.name: product for product in host.products}
--- a/rushladder/streams/host.py
+++ b/rushladder/streams/host.py
@@ -66,8 +66,14 @@
     described: the module's keyword arguments (`conf.birth`); probe, tell: carry out these orders.
     """
 
-    def __init__(self, seed: int, described: Mapping[str, Any], now: int, probe: Callable[[Server], None],
-                 tell: Callable[[int | None, bytes], None]) -> None:
+    def __init__(
+        self,
+        seed: int,
+        described: Mapping[str, Any],
+        now: int,
+        probe: Callable[[Server], None],
+        tell: Callable[[int | None, bytes], None],
+    ) -> None:
         self._now, self._probe, self._tell = now, probe, tell
         self._reminders, self._tables = Reminders(), dict[int, Tbl]()
         self.products: Sequence[Product] = described["products"]
@@ -187,8 +193,13 @@
         drop = sorted(server.name for server in port.heed if server in self._withdrawn)
         undrop = sorted(server.name for server in port.heed if server not in self._withdrawn)
         parts = [config(drop=drop, undrop=undrop)] if drop or undrop else []
-        written = {Purpose.WITHDRAWAL: len(drop) + len(undrop), Purpose.MARK: int(port.mark is not None),
-                   Purpose.BINDING: 0, Purpose.WEIGHT: 0, Purpose.LEVEL: 0}
+        written = {
+            Purpose.WITHDRAWAL: len(drop) + len(undrop),
+            Purpose.MARK: int(port.mark is not None),
+            Purpose.BINDING: 0,
+            Purpose.WEIGHT: 0,
+            Purpose.LEVEL: 0,
+        }
         for table in dict.fromkeys((*port.rebind, *port.rows, *port.gates)):
             products = [product for product in self.products if port.bound.get(product) is table]
             names, anew = [product.name for product in products], table in port.rebind
@@ -203,10 +214,20 @@
             own = next((level for level, some in levels.items() if some == products), None)
             for place in range(0, len(rows) or 1, ROWS):
                 if anew or rows or own:
-                    parts.append(self._text(table, names, anew and not place, rows[place:place + ROWS],
-                                            own if not place else None))
-            parts += [config([product.name for product in some], gate=level)
-                      for level, some in levels.items() if level != own]
+                    parts.append(
+                        self._text(
+                            table,
+                            names,
+                            anew and not place,
+                            rows[place : place + ROWS],
+                            own if not place else None,
+                        )
+                    )
+            parts += [
+                config([product.name for product in some], gate=level)
+                for level, some in levels.items()
+                if level != own
+            ]
             written[Purpose.BINDING if anew else Purpose.WEIGHT] += anew + len(rows)
             written[Purpose.BINDING if anew else Purpose.LEVEL] += len(levels)
         assert len(parts) <= PARTS
@@ -217,8 +238,14 @@
             self.account.written(self._now, written)
         return whole(parts)
 
-    def _text(self, table: Tbl, names: Sequence[str], anew: bool, servers: Sequence[Server],
-              gate: tuple[float, int] | None) -> str:
+    def _text(
+        self,
+        table: Tbl,
+        names: Sequence[str],
+        anew: bool,
+        servers: Sequence[Server],
+        gate: tuple[float, int] | None,
+    ) -> str:
         """One part of a message, worked out once for all streams that are owed the same."""
         key = table, tuple(names), anew, tuple(servers), gate
         if key not in self._texts:
