Review case 2: a zone that loses its workers gets no line in a large fleet

Cause: Tables._plan spreads the demand of a table without home servers over all servers of the other zones, then takes out every line under a hundredth. With more than a hundred servers of like room the plan is empty, and an empty plan changes nothing.

The stand-in sends steady traffic, and forgets what a killed manager was told.

--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -171,6 +171,7 @@
         self.alive.set()
         self.arrived = {name: [0, 0] for name in CLASSES}  # requests and unserved ones since the last report
         self.no_line_since = dict[str, float]()
+        self.due = {name: platform.random.random() for name in CLASSES}  # requests that are still to be sent
 
     @property
     def dead(self) -> bool:
@@ -294,8 +295,9 @@
                     platform.violation(
                         1, f"proxy {self.number} has had no line to pick for {name} for {now - since:.1f} s"
                     )
-            wanted = share * platform.rate / len(CLASSES)
-            count = int(wanted) + (platform.random.random() < wanted % 1)
+            self.due[name] += share * platform.rate / len(CLASSES)
+            count = int(self.due[name])
+            self.due[name] -= count
             for _ in range(count):
                 self.arrived[name][0] += 1
                 if not lines:
@@ -428,6 +430,7 @@
         travel: tuple[float, float] = (0.1, 0.5),
         sockets: int = 512,
         drain_grace: int = 4_000_000,
+        homes: str = "",  # the zone of each proxy; empty: in turn
         **family: Any,
     ) -> None:
         self.folder, self.watched_rules = folder, watched_rules
@@ -451,7 +454,8 @@
             info["counted_over"] / 1e6,
         )
         self.workers, self.states = dict[str, Worker](), dict[str, str]()
-        self.proxies = [Proxy(self, number, zones[number % len(zones)]) for number in range(proxies)]
+        homes = homes or "".join(zones[number % len(zones)] for number in range(proxies))
+        self.proxies = [Proxy(self, number, zone) for number, zone in enumerate(homes)]
         self.told = dict[str, dict[str, Any]]()  # the list as discovery has written it to the manager
         self.told_unavailable = dict[str, float]()
         self.version, self.changes = 41, list[tuple[int, dict[str, Any]]]()
@@ -609,6 +613,8 @@
         self.manager_log = private / "log"
         self.duty_from = float("inf")
         self.told = {entry["id"]: entry for entry in known}
+        # What a killed manager was told is no longer its duty; the new one knows its last list alone.
+        self.told_unavailable = {entry["id"]: self.now() for entry in known if entry["state"] != "ready"}
         self.expected_end = False
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", run, cwd=ROOT, env=environment, stdout=log, stderr=log
