--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -759,7 +759,9 @@
 
     async def main() -> int:
         platform = build()
-        result = HELD
+        result, task = HELD, asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)  # ends its processes too
         try:
             await play(platform)
         except Exception as error:
