Let back workers that were gone at a manager's restart when they return

What callers saw: workers die, the manager withdraws them and is restarted while they are away. They come back under their ids, are listed as ready and get rows, but every proxy goes on shutting them out.

Cause: a restarted manager knows its last list alone, and a proxy keeps its withdrawals over streams. Tables.clear_stale_withdrawals left out servers that were first listed over 10 s after the proxy joined, as unknown to any former manager. A server that was gone at the start is first listed then too.

Change: the 10 s and Server.first_listed_at are gone; each line of a proxy that brings withdrawals along is let back once. It holds because it no longer needs to tell new servers from returning ones, which no list does. It costs a line for each new server at such a proxy.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -156,7 +156,7 @@
         for entry in event.entries:
             if (server := entry.worker) not in self.servers:
                 server.index = sum((server.zone, server.model) == (s.zone, s.model) for s in self.servers)
-                self.servers[server], server.first_listed_at = None, self._host.now()
+                self.servers[server] = None
             restarted, ready = entry.started_at != server.started_at, entry.availability is Availability.READY
             server.size, server.started_at = max(entry.size, 1e-3), entry.started_at
             signal = ServerSignal.STARTED if restarted and self.ramp(server) < 1 else ServerSignal.READY
@@ -681,21 +681,20 @@
         """Undoes withdrawals of a former manager at proxies that kept them.
 
         This manager cannot see which those are, so each line of the proxy's tables is cleared once: with
-        messages that are sent anyway, or where the channel has little else to carry.
+        messages that are sent anyway, or where the channel has little else to carry. This includes lines of
+        servers that it sees for the first time: a server that returns under its id after the manager's start
+        looks like a new one.
         """
         lines, gateways = (
             self._outbox.lines,
             [g for g in self._outbox.proxies.joined if g.keeps_withdrawals and g.tables],
         )
         for gateway in gateways if self._outbox.has_room((), 0, 0.7, self._outbox.priority_lines) else ():
-            latest = gateway.joined_at + 10 * SECOND  # no former manager knew a server that is listed later
             named = dict.fromkeys(server for table in gateway.tables for server in table.lines)
             servers = [
                 server
                 for server in named
-                if server.published_state is ServerState.SERVING
-                and server.first_listed_at <= latest
-                and server not in gateway.cleared_withdrawals
+                if server.published_state is ServerState.SERVING and server not in gateway.cleared_withdrawals
             ]
             fraction = 0.7 if lines.cost([gateway]) <= 1 else 0.2
             if servers and self._outbox.has_room(
--- a/rushladder/records.py
+++ b/rushladder/records.py
@@ -36,7 +36,6 @@
         self.published_state = ServerState.SERVING  # the one that the proxies were last sent
         self.index = 0  # among the servers of its model in its zone
         self.started_at = self.excluded_until = self.exclusion_time = 0
-        self.first_listed_at = 0
         self.unavailable_since = 0  # when it was learned that it drains or is gone
         self.reset_estimates()
 
