Let back workers that return after the manager has forgotten them

What callers saw: a worker that is away for over a minute, with no restart of anything, comes back under its id, is listed as ready and gets rows, and every proxy that had it goes on shutting it out, for good.

Cause: Tables._forget_unavailable deletes a server a minute after it left. Its withdrawal went with it and was undone nowhere: the platform's proxies keep theirs over tables and streams, and the simulator keeps it by name. The returning worker is a new object to the module, which finds nothing to undo.

Change: a manager that forgets a server undoes its withdrawal, which costs no line as no table names it. A server notes when its manager last forgot one before it was listed; proxies that joined before that are let back on the line's own message, as after a change of managers. Nothing is kept by name, so memory stays bounded. A server that still drains on the list is not forgotten. It holds because what the manager no longer knows is taken for possibly withdrawn. The runtime-socket core goes by the list for servers in maintenance, which the module may have forgotten.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -60,6 +60,7 @@
 from rushladder.ring import Ring
 
 SERVERS_PER_TEAM = 12  # of a team that is not split
+FORGET_AFTER = 60 * SECOND  # from when a server left until it is forgotten
 # Signals drive a server's state (SERVER_TRANSITIONS) and the load state (LOAD_TRANSITIONS). LIMITED means
 # not overloaded, but with a level still below 1.
 ServerSignal = Enum("ServerSignal", "READY STARTED UNAVAILABLE FAILING RECOVERED ZONE_REACHABLE")
@@ -146,22 +147,36 @@
         self._host, self._products, self._may_probe = host, products, probes
         self._cold_time, self._cold_from = guarantee.cold_time, guarantee.cold_from
         self.servers, self.congested = dict[Server, None](), True  # congested until reports show otherwise
+        self._last_forgotten_at = 0
 
     def on_listing(self, event: Listing[Server]) -> None:
         """Takes over a list. A server that a full list lacks is unavailable."""
         if event.kind is not ListKind.CHANGES:
             named = {entry.worker for entry in event.entries}
             for absent in [server for server in self.servers if server not in named]:
+                absent.is_listed = False
                 self._transition(absent, ServerSignal.UNAVAILABLE)
         for entry in event.entries:
             if (server := entry.worker) not in self.servers:
                 server.index = sum((server.zone, server.model) == (s.zone, s.model) for s in self.servers)
-                self.servers[server] = None
+                self.servers[server], server.last_forgotten_at = None, self._last_forgotten_at
+            server.is_listed = entry.availability is not Availability.GONE
             restarted, ready = entry.started_at != server.started_at, entry.availability is Availability.READY
             server.size, server.started_at = max(entry.size, 1e-3), entry.started_at
             signal = ServerSignal.STARTED if restarted and self.ramp(server) < 1 else ServerSignal.READY
             self._transition(server, signal if ready else ServerSignal.UNAVAILABLE)
 
+    def forget(self, server: Server) -> None:
+        """Forgets a server that has left, with its withdrawal.
+
+        The host may keep withdrawals by name for good, so they are undone. Proxies that keep them themselves
+        are let back when a server is listed that may be this one (`Gateway.may_shut_out`).
+        """
+        self._host.set_withdrawn(server, False)
+        server.published_state = ServerState.SERVING
+        del self.servers[server]
+        self._last_forgotten_at = self._host.now()
+
     def ramp(self, server: Server) -> float:
         """The part of its capacity that a starting server certainly has.
 
@@ -659,10 +674,10 @@
                 self._teams.unsplit_tables()  # all joiners are bound: their tables may grow with other moves
         self._plan()
         self._send_changes(include_bound)
-        self._forget_unavailable()
+        self._forget_departed()
 
-    def _forget_unavailable(self) -> None:
-        """Forgets unavailable servers after a minute, unless a table still names them.
+    def _forget_departed(self) -> None:
+        """Forgets servers that left the list `FORGET_AFTER` ago, unless a table still names them.
 
         A server may come back under its name while proxies still have it withdrawn. Kept for good, the names
         would fill memory.
@@ -672,40 +687,37 @@
             s
             for s in self._fleet.servers
             if s.state is s.published_state is ServerState.UNAVAILABLE
-            and s.unavailable_since < self._host.now() - 60 * SECOND
+            and not s.is_listed
+            and s.unavailable_since < self._host.now() - FORGET_AFTER
             and s not in named
         ]:
-            del self._fleet.servers[server]
+            self._fleet.forget(server)
 
     def clear_stale_withdrawals(self) -> None:
-        """Undoes withdrawals of a former manager at proxies that kept them.
+        """Undoes withdrawals at proxies that this manager does not know of: those of a former manager, and
+        its own of servers that it has forgotten.
 
-        This manager cannot see which those are, so each line of the proxy's tables is cleared once: with
-        messages that are sent anyway, or where the channel has little else to carry. This includes lines of
-        servers that it sees for the first time: a server that returns under its id after the manager's start
-        looks like a new one.
+        It cannot see which those are, so each line of the proxy's tables is cleared once: with messages that
+        are sent anyway, or where the channel has little else to carry. This includes lines of servers that it
+        sees for the first time: a server that returns under its id after the manager's start looks like a new
+        one.
         """
-        lines, gateways = (
-            self._outbox.lines,
-            [g for g in self._outbox.proxies.joined if g.keeps_withdrawals and g.tables],
-        )
-        for gateway in gateways if self._outbox.has_room((), 0, 0.7, self._outbox.priority_lines) else ():
-            named = dict.fromkeys(server for table in gateway.tables for server in table.lines)
-            servers = [
-                server
-                for server in named
-                if server.published_state is ServerState.SERVING and server not in gateway.cleared_withdrawals
-            ]
+        lines, outbox = self._outbox.lines, self._outbox
+        has_room = outbox.has_room((), 0, 0.7, outbox.priority_lines)
+        published = {
+            key: {
+                s: None for table in tables for s in table.lines if s.published_state is ServerState.SERVING
+            }
+            for key, tables in self._tables.items()
+        }
+        for gateway in [gateway for gateway in outbox.proxies.joined if gateway.tables] if has_room else ():
+            named = published[gateway.zone, gateway.team]
+            servers = [server for server in named if gateway.may_shut_out(server)]
             fraction = 0.7 if lines.cost([gateway]) <= 1 else 0.2
-            if servers and self._outbox.has_room(
-                [gateway], len(servers), fraction, self._outbox.priority_lines
-            ):
+            if servers and outbox.has_room([gateway], len(servers), fraction, outbox.priority_lines):
                 self._host.clear_stale_withdrawals(gateway, servers)
                 lines.add([gateway], len(servers))
-                gateway.cleared_withdrawals.update(dict.fromkeys(servers))
-                gateway.cleared_withdrawals = {
-                    server: None for server in gateway.cleared_withdrawals if server in named
-                }
+                gateway.add_cleared_withdrawals(servers, named)
 
     def _holders(self, server: Server) -> Collection[Gateway]:
         """The gateways that use a table with a line of this server."""
@@ -1085,7 +1097,9 @@
     def _on_joined(self, event: Joined[Gateway]) -> None:
         gateway = event.proxy
         self._on_left(Left(gateway))  # it may join again before its lost connection was noticed
-        gateway.start_session(self._host.now(), self._products, event.keeps_withdrawals, 12)
+        gateway.start_session(
+            self._host.now(), self._products, event.keeps_withdrawals, event.initial_table_only, 12
+        )
         self._tables.assign_team(gateway)
         self._outbox.proxies.join(gateway)
         # A zone whose servers were excluded because it was cut off serves its own proxies at once.
--- a/rushladder/core/host.py
+++ b/rushladder/core/host.py
@@ -374,7 +374,9 @@
         for (backend, name), line in session.held.lines.items():
             if backend == product.name and (backend, name) not in lines:
                 known = self.roster.listed.get(name)
-                withdrawn = known is None or known.server in self.withdrawn
+                # The module forgets the withdrawal of a server that has been gone for long.
+                gone = known is None or known.availability is Availability.GONE
+                withdrawn = gone or (known is not None and known.server in self.withdrawn)
                 admin = AdminState.DRAIN if withdrawn and line.admin is AdminState.READY else line.admin
                 lines[backend, name] = Line(line.address, 0, admin)
         return lines
--- a/rushladder/interface.py
+++ b/rushladder/interface.py
@@ -196,7 +196,7 @@
 
     proxy: P
     initial_table_only: bool  # it has no table but the one that it got when it started
-    keeps_withdrawals: bool = False  # workers that a former manager withdrew stay so, though it is bound anew
+    keeps_withdrawals: bool = False  # they last until they are undone, though it is bound anew
 
 
 @dataclass(frozen=True)
@@ -333,7 +333,7 @@
         ...
 
     def clear_stale_withdrawals(self, proxy: Proxy, workers: Sequence[Worker]) -> None:
-        """Undoes what a former manager withdrew at this proxy."""
+        """Undoes withdrawals at this proxy that the manager does not know of."""
 
     def set_level(
         self, table_number: int | None, products: Sequence[Product], level: float, retry: Retry
--- a/rushladder/records.py
+++ b/rushladder/records.py
@@ -37,6 +37,9 @@
         self.index = 0  # among the servers of its model in its zone
         self.started_at = self.excluded_until = self.exclusion_time = 0
         self.unavailable_since = 0  # when it was learned that it drains or is gone
+        self.is_listed = False  # as ready or draining
+        # When the manager that listed it had last forgotten a server, which may be this one.
+        self.last_forgotten_at = 0
         self.reset_estimates()
 
     def reset_estimates(self, factor: float = 1.0, report_count: int = 0) -> None:
@@ -58,16 +61,34 @@
     """A proxy that has joined: its team, its tables, and the txns that came to it."""
 
     def start_session(
-        self, now: int, products: Sequence[Product], keeps_withdrawals: bool, seconds: int
+        self, now: int, products: Sequence[Product], keeps_withdrawals: bool, is_new: bool, seconds: int
     ) -> None:
-        """Resets everything as the proxy joins. seconds: for how long reports are kept."""
+        """Resets everything as the proxy joins.
+
+        keeps_withdrawals: whether they outlast bindings. is_new: whether no manager has bound it before.
+        seconds: for how long reports are kept.
+        """
         self.joined_at, self.team, self.tables = now, 0, list[Table]()
-        self.keeps_withdrawals = keeps_withdrawals  # those of a former manager
-        self.cleared_withdrawals = dict[Server, None]()  # servers for which that was undone
+        self.keeps_withdrawals, self._is_new = keeps_withdrawals, is_new
+        self.cleared_withdrawals = dict[Server, None]()  # servers that this manager has let back here
         self.counted_rate = self.usual_rate  # in its team's sum: the proxy may join with another rate later
         self.arrivals = {product: Ring(SECOND, seconds, 2) for product in products}  # count, time covered
         self.rates, self.rates_key = dict[Product, float](), (-1, 0)  # what the rates were computed for
 
+    def may_shut_out(self, server: Server) -> bool:
+        """Whether the proxy may have the server withdrawn without the manager's knowledge: by a former
+        manager, or by this one, which has forgotten it since."""
+        return (
+            self.keeps_withdrawals
+            and server not in self.cleared_withdrawals
+            and (not self._is_new or self.joined_at < server.last_forgotten_at)
+        )
+
+    def add_cleared_withdrawals(self, servers: Collection[Server], named: Collection[Server]) -> None:
+        """Records servers that were let back here. named: the servers of its tables; others are dropped."""
+        cleared = {**self.cleared_withdrawals, **dict.fromkeys(servers)}
+        self.cleared_withdrawals = {server: None for server in cleared if server in named}
+
 
 class Table:
     """One shared table: the products with the same eligibility, for the proxies of one team of a zone.
--- a/rushladder/streams/host.py
+++ b/rushladder/streams/host.py
@@ -163,7 +163,7 @@
             gateway = self._gateways[number] = Gateway(str(number), zone, weight)
         gateway.usual_rate = weight
         self.joined_proxies[number] = JoinedProxy(gateway, stream)
-        return [*events, Joined(gateway, fresh, keeps_withdrawals=not fresh)]
+        return [*events, Joined(gateway, fresh, keeps_withdrawals=True)]
 
     def leave(self, number: int, stream: Stream) -> Left[Gateway] | None:
         """Removes a stream that has ended; returns the event for the next batch, or None if it was
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -6,10 +6,11 @@
 from dataclasses import replace
 from typing import Any
 
+from rushladder.brain import FORGET_AFTER
 from rushladder.interface import Applied, Availability, Joined, LevelUnit, ListKind, PeerMessage, Retry
 from rushladder.lines import PendingLines
 from rushladder.records import Gateway, Server
-from tests.fake_host import ASK, PAY, FakeHost
+from tests.fake_host import ASK, PAY, SECOND, FakeHost
 
 
 class ListTests(unittest.TestCase):
@@ -684,6 +685,20 @@
         self.assertLess(len(host.manager._fleet.servers), 6 + 70)
         self.assertEqual(set(host.servers) - set(host.manager._fleet.servers), set())
 
+    def test_the_withdrawal_of_a_forgotten_server_is_undone(self) -> None:
+        """Guards against hosts that keep withdrawals by name, as the simulator does: a server that returns
+        after it was forgotten would stay withdrawn."""
+        host = FakeHost()
+        host.join()
+        host.run(3)
+        gone, draining = host.servers[:2]
+        host.send_listing(ListKind.CHANGES, gone, state=Availability.GONE)
+        host.send_listing(ListKind.CHANGES, draining, state=Availability.DRAINING)
+        host.run(FORGET_AFTER // SECOND + 5)
+        withdrawals = host.orders_named("set_withdrawn")
+        self.assertEqual([state for server, state in withdrawals if server is gone], [True, False])
+        self.assertEqual([state for server, state in withdrawals if server is draining], [True])
+
     def test_a_table_that_lost_all_its_lines_is_filled_before_small_moves(self) -> None:
         host = FakeHost(servers=24, gateways=40, zones=("a",), pending=400.0)
         host.join()
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -3,11 +3,13 @@
 import unittest
 from functools import cache
 
+from rushladder.brain import FORGET_AFTER
 from rushladder.runtime.endpoint import CommandRefused, Level
 from rushladder.runtime.grammar import Command, parse_fields, parse_table
 from rushladder.service.api import command_table
 from rushladder.service.manager import Manager
 from tests.fake_cluster import FakeCluster, FakeTransport
+from tests.fake_host import SECOND
 
 commands = cache(command_table)  # one command table per manager, as its listeners share it
 
@@ -202,6 +204,20 @@
         self.assertNotIn("s2", cluster.gateways["g0"].backends["pay"])
         self.assertEqual(set(cluster.gateways["g0"].backends["ask"]) - {"s0", "s1", "s3"}, set())
 
+    def test_a_server_that_the_module_has_forgotten_stays_drained_at_a_restarted_gateway(self) -> None:
+        cluster = FakeCluster(cap=60)
+        cluster.run(8, rate=20)
+        ctl(cluster.managers["m0"], "disable server fleet/s0")
+        cluster.run(FORGET_AFTER / SECOND + 10, rate=20)
+        cluster.wires["m0", "g0"].abortConnection()
+        cluster.start_gateway("g0", pid=2)  # its initial table names s0
+        cluster.run(8, rate=20)
+        for lines in cluster.gateways["g0"].backends.values():
+            self.assertEqual((lines["s0"].weight, lines["s0"].admin), (0, "drain"))
+        ctl(cluster.managers["m0"], "enable server fleet/s0")
+        cluster.run(20, rate=20)
+        self.assertIn("s0", cluster.usable_weights("g0", "ask"))
+
 
 class TakeoverTests(unittest.TestCase):
     def test_each_manager_holds_the_gateways_of_its_region_and_the_other_takes_over(self) -> None:
