Do not let a server back at a proxy while its withdrawal waits

What callers saw: a proxy that a former manager told to shut a worker out is told to use it again, although the manager has just learned that the worker is gone; its requests fail there until the withdrawal comes, up to the grace.

Cause: Tables.clear_stale_withdrawals went by the state that was published last, which is still "serving" while a withdrawal waits for joiners or for the channel.

Not seen in a run with real processes.

Change: a server is let back only if it is in service by the list too. It holds because a server that returns is released by Fleet's transition, and then cleared as any other.

Result: the test failed before with the gone zone's proxy among those cleared, and passes now.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -704,14 +704,18 @@
         """
         lines, outbox = self._outbox.lines, self._outbox
         has_room = outbox.has_room((), 0, 0.7, outbox.priority_lines)
-        published = {
+        # One whose withdrawal waits is left as it is: the proxy may have shut it out already.
+        in_service = {
             key: {
-                s: None for table in tables for s in table.lines if s.published_state is ServerState.SERVING
+                s: None
+                for table in tables
+                for s in table.lines
+                if s.state is s.published_state is ServerState.SERVING
             }
             for key, tables in self._tables.items()
         }
         for gateway in [gateway for gateway in outbox.proxies.joined if gateway.tables] if has_room else ():
-            named = published[gateway.zone, gateway.team]
+            named = in_service[gateway.zone, gateway.team]
             servers = [server for server in named if gateway.may_shut_out(server)]
             fraction = 0.7 if lines.cost([gateway]) <= 1 else 0.2
             if servers and outbox.has_room([gateway], len(servers), fraction, outbox.priority_lines):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -7,7 +7,17 @@
 from typing import Any
 
 from rushladder.brain import FORGET_AFTER
-from rushladder.interface import Applied, Availability, Joined, LevelUnit, ListKind, PeerMessage, Retry
+from rushladder.interface import (
+    Applied,
+    Availability,
+    Entry,
+    Joined,
+    LevelUnit,
+    Listing,
+    ListKind,
+    PeerMessage,
+    Retry,
+)
 from rushladder.lines import PendingLines
 from rushladder.records import Gateway, Server
 from tests.fake_host import ASK, PAY, SECOND, FakeHost
@@ -284,6 +294,26 @@
         self.assertEqual(self.cleared(host).count((host.gateways[0], new)), 1)
         self.assertEqual({gateway for gateway, _ in self.cleared(host)}, {host.gateways[0]})
 
+    def test_a_server_whose_withdrawal_waits_is_not_cleared(self) -> None:
+        """Guards against proxies that are told to use servers again after these have left: their withdrawal
+        waits for joiners, a former manager's is still in force, and the table keeps its last lines."""
+        host = FakeHost(cap=12, products=(replace(ASK, home_only=True),))
+        host.run(2)
+        self.take_over(host, *host.gateways[:2])
+        host.run(1)
+        gone = [server for server in host.servers if server.zone == "a"]
+        host.joined.add(host.gateways[2])
+        host.clock += 6 * SECOND // 5  # over a control period, which the cap lengthens
+        host.deliver(
+            Listing(ListKind.CHANGES, 2, [Entry(server, Availability.GONE, 1.0, 0) for server in gone]),
+            Joined(host.gateways[2], False, True),
+            *host.due_events(),
+        )
+        self.assertEqual(host.orders_named("set_withdrawn"), [])
+        self.assertEqual({gateway for gateway, _ in self.cleared(host)}, {host.gateways[1]})
+        host.run(5)
+        self.assertEqual({(server, True) for server in gone}, set(host.orders_named("set_withdrawn")))
+
     def test_joiners_and_a_full_channel_go_first(self) -> None:
         host = FakeHost(gateways=60, pending=600.0)
         self.take_over(host, *host.gateways[:40])
