Split the formatting of a stream's message into its parts

StreamHost._format_message did five things in fifty lines, and the rule for an undrop stood twice. Withdrawals, the parts of one table and its levels are methods of their own now; the rule is _was_withdrawn.

--- a/rushladder/streams/host.py
+++ b/rushladder/streams/host.py
@@ -214,55 +214,62 @@
         return False
 
     def _format_message(self, joined: JoinedProxy) -> bytes:
-        drop = sorted(server.name for server in joined.pending_withdrawals if server in self._withdrawn)
-        undrop = sorted(server.name for server in joined.pending_withdrawals if server not in self._withdrawn)
-        parts = [format_config(drop=drop, undrop=undrop)] if drop or undrop else []
-        written = {
-            Purpose.WITHDRAWAL: len(drop) + len(undrop),
-            Purpose.MARK: int(joined.pending_mark is not None),
-            Purpose.BINDING: 0,
-            Purpose.WEIGHT: 0,
-            Purpose.LEVEL: 0,
-        }
+        """Formats the pending orders as one message, and counts its lines; empty if nothing is pending."""
+        written = dict.fromkeys(Purpose, 0)
+        parts = self._withdrawal_parts(joined, written)
         for table in dict.fromkeys((*joined.pending_bindings, *joined.pending_rows, *joined.pending_levels)):
-            products = [product for product in self.products if joined.tables.get(product) is table]
-            names, replace = [product.name for product in products], table in joined.pending_bindings
-            servers = table.lines if replace else joined.pending_rows.get(table, {})
-            rows = list(servers)
-            levels = dict[tuple[float, int], list[Product]]()
-            for product in products:
-                level = self._effective_level(table, product)
-                if level is not None and (replace or product in joined.pending_levels.get(table, {})):
-                    levels.setdefault(level, []).append(product)
-            # A level that holds for all of the table's products goes into the same part as its rows; other
-            # levels need a part each.
-            shared = next((level for level, of_level in levels.items() if of_level == products), None)
-            for first in range(0, len(rows) or 1, MAX_ROWS_PER_PART):
-                if replace or rows or shared:
-                    parts.append(
-                        self._format_part(
-                            table,
-                            names,
-                            replace and not first,
-                            rows[first : first + MAX_ROWS_PER_PART],
-                            shared if not first else None,
-                        )
-                    )
-            parts += [
-                format_config([product.name for product in of_level], gate=level)
-                for level, of_level in levels.items()
-                if level != shared
-            ]
-            written[Purpose.BINDING if replace else Purpose.WEIGHT] += replace + len(rows)
-            written[Purpose.BINDING if replace else Purpose.LEVEL] += len(levels)
+            parts += self._table_parts(joined, table, written)
         assert len(parts) <= MAX_MESSAGE_PARTS
         if joined.pending_mark is not None:
             parts = [*parts[:-1], (parts[-1] if parts else format_config()) + f" stamp={joined.pending_mark}"]
+            written[Purpose.MARK] = 1
         self.lines += sum(written.values())
         if parts:
             self.channel_meter.message_written(self._now, written)
         return join_parts(parts)
 
+    def _withdrawal_parts(self, joined: JoinedProxy, written: dict[Purpose, int]) -> list[str]:
+        """The part with the pending withdrawals, in their present state; adds its lines to `written`."""
+        drop = sorted(server.name for server in joined.pending_withdrawals if server in self._withdrawn)
+        undrop = sorted(server.name for server in joined.pending_withdrawals if server not in self._withdrawn)
+        written[Purpose.WITHDRAWAL] += len(drop) + len(undrop)
+        return [format_config(drop=drop, undrop=undrop)] if drop or undrop else []
+
+    def _table_parts(self, joined: JoinedProxy, table: SharedTable, written: dict[Purpose, int]) -> list[str]:
+        """The parts with the pending rows and levels of one table; adds their lines to `written`."""
+        products = [product for product in self.products if joined.tables.get(product) is table]
+        names, replace = [product.name for product in products], table in joined.pending_bindings
+        rows = list(table.lines if replace else joined.pending_rows.get(table, {}))
+        levels = self._pending_levels(joined, table, products)
+        # A level that holds for all of the table's products goes into the same part as its rows; other
+        # levels need a part each.
+        shared = next((level for level, of_level in levels.items() if of_level == products), None)
+        parts = list[str]()
+        for first in range(0, len(rows) or 1, MAX_ROWS_PER_PART):
+            if replace or rows or shared:
+                portion, gate = rows[first : first + MAX_ROWS_PER_PART], shared if not first else None
+                parts.append(self._format_part(table, names, replace and not first, portion, gate))
+        parts += [
+            format_config([product.name for product in of_level], gate=level)
+            for level, of_level in levels.items()
+            if level != shared
+        ]
+        written[Purpose.BINDING if replace else Purpose.WEIGHT] += replace + len(rows)
+        written[Purpose.BINDING if replace else Purpose.LEVEL] += len(levels)
+        return parts
+
+    def _pending_levels(
+        self, joined: JoinedProxy, table: SharedTable, products: Sequence[Product]
+    ) -> dict[tuple[float, int], list[Product]]:
+        """The products whose level has to be written, by level and retry mode."""
+        bound, changed = table in joined.pending_bindings, joined.pending_levels.get(table, {})
+        levels = dict[tuple[float, int], list[Product]]()
+        for product in products:
+            level = self._effective_level(table, product)
+            if level is not None and (bound or product in changed):
+                levels.setdefault(level, []).append(product)
+        return levels
+
     def _format_part(
         self,
         table: SharedTable,
@@ -319,7 +326,7 @@
             # A proxy keeps a withdrawal across streams and tables. A line that is added therefore repeats the
             # worker's current state; otherwise the proxy could keep out a worker that was released, or use
             # one that is withdrawn.
-            if new and weight > 0 and (worker in self._withdrawn or worker in self._released):
+            if new and weight > 0 and self._was_withdrawn(worker):
                 joined.pending_withdrawals[worker] = None
 
     def clear_table(self, table_number: int) -> None:
@@ -344,9 +351,13 @@
                     pending.pop(previous, None)
         table.proxies[joined] = joined.pending_bindings[table] = None
         for server in table.lines:
-            if server in self._withdrawn or server in self._released:
+            if self._was_withdrawn(server):
                 joined.pending_withdrawals[server] = None
 
+    def _was_withdrawn(self, worker: Server) -> bool:
+        """Whether the worker is withdrawn or has been, as far as this process remembers."""
+        return worker in self._withdrawn or worker in self._released
+
     def set_withdrawn(self, worker: Worker, withdrawn: bool) -> None:
         assert isinstance(worker, Server)
         (self._withdrawn.add if withdrawn else self._withdrawn.discard)(worker)
