--- a/tests/fake_cluster.py
+++ b/tests/fake_cluster.py
@@ -118,17 +118,17 @@
     def __init__(self, gateways: int = 2, managers: int = 1, servers: int = 4, cap: int = 12) -> None:
         self.clock, self.prober, self.cap, self.manager_count = Clock(), FakeProber(), cap, managers
         self.clock.advance(1000)
-        self.sites = [f"g{k}" for k in range(gateways)]
+        self.gateway_names = [f"g{k}" for k in range(gateways)]
         self.gateways, self.traffic = dict[str, GatewayState](), dict[str, int]()
         # Commands to the gateways' sockets: time, gateway, words and answer.
         self.sent = list[tuple[float, str, tuple[str, ...], str]]()
-        self.wires = dict[tuple[str, str], FakeTransport]()
+        self.connections = dict[tuple[str, str], FakeTransport]()
         self.service_time = dict[str, float]()  # seconds that a txn takes at a server
         self.down, self.hung, self.delay = set[str](), set[str](), 0.002
         # Called with the near end of each new connection, to change how its ends behave.
-        self.on_connect: Callable[[str, FakeTransport], None] = lambda name, wire: None
+        self.on_connect: Callable[[str, FakeTransport], None] = lambda name, connection: None
         self.random = Random(3).random
-        for name in self.sites:
+        for name in self.gateway_names:
             self.start_gateway(name)
         self.servers = servers
         self.managers = dict[str, Manager]()
@@ -139,7 +139,7 @@
     def config_text(self, name: str) -> str:
         """A manager's configuration file."""
         text = CONFIG.format(name=name, region="ab"[int(name[1]) % 2], cap=self.cap)
-        for k, site in enumerate(self.sites):
+        for k, site in enumerate(self.gateway_names):
             text += f"gateway {site}\n    region {'ab'[k % 2]}\n    socket unix@/none/{site}\n"
             text += "    usual 20/s\n"
         for k in range(self.servers):
@@ -175,9 +175,9 @@
         manager._stopped = True
         for driver in manager.drivers:
             driver._stopped = True
-        for (owner, _), wire in self.wires.items():
-            if owner == name and wire.open:
-                wire.abortConnection()
+        for (owner, _), connection in self.connections.items():
+            if owner == name and connection.open:
+                connection.abortConnection()
 
     def connect(self, manager: str, site: GatewayConfig, client: RuntimeClient) -> Deferred[Any]:
         connected: Deferred[Any] = Deferred()
@@ -190,7 +190,7 @@
         server = factory.buildProtocol(None)
         assert isinstance(server, RuntimeServer)
         near.protocol, far.protocol = client, server
-        self.wires[manager, site.name] = near
+        self.connections[manager, site.name] = near
         self.on_connect(site.name, near)
         server.makeConnection(far)  # type: ignore[no-untyped-call]
         client.makeConnection(near)  # type: ignore[no-untyped-call]
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -508,7 +508,7 @@
             before = processor.current_hints.get("s0", 1.0)
         self.assertEqual(before, 1.0)
         self.assertLessEqual(max(moves), MAX_STEP + 1e-9)
-        for name in cluster.sites:
+        for name in cluster.gateway_names:
             wrote = [
                 at
                 for at, site, words, _ in cluster.sent
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -30,8 +30,8 @@
     def test_a_gateway_is_held_and_gets_its_table_and_levels(self) -> None:
         cluster = FakeCluster()
         cluster.run(6, rate=20)
-        self.assertEqual({cluster.holder(name) for name in cluster.sites}, {"m0"})
-        for name in cluster.sites:
+        self.assertEqual({cluster.holder(name) for name in cluster.gateway_names}, {"m0"})
+        for name in cluster.gateway_names:
             self.assertTrue(set(cluster.usable_weights(name, "pay")) - {"s0"})
             self.assertEqual(cluster.gateways[name].maps["levels"], {"ask": "1000", "pay": "1000"})
             self.assertEqual(cluster.gateways[name].maps["retries"], {"ask": "1", "pay": "1"})
@@ -48,7 +48,7 @@
         cluster.run(6, rate=20)
         self.assertEqual(ctl(cluster.managers["m0"], "set server fleet/s0 state drain"), "")
         cluster.run(1.5)
-        for name in cluster.sites:
+        for name in cluster.gateway_names:
             self.assertNotIn("s0", cluster.usable_weights(name, "pay"))
             self.assertTrue(cluster.usable_weights(name, "pay"))
         self.assertEqual(cluster.managers["m0"].roster.version, 5)
@@ -116,8 +116,8 @@
             levels.append(dict(state.maps["levels"]))
             matches[0] += words_run[: len(words)] == words
             if matches[0] == count and words_run[: len(words)] == words:
-                cluster.wires["m0", "g0"].muted = True  # the rest of the line and all answers are lost
-                cluster.wires["m0", "g0"].abortConnection()
+                cluster.connections["m0", "g0"].muted = True  # the rest of the line and all answers are lost
+                cluster.connections["m0", "g0"].abortConnection()
 
         state.on_command = record_and_cut
         return levels
@@ -151,7 +151,7 @@
         cluster.run(15, rate=20)
         before = {
             name: (cluster.usable_weights(name, "ask"), dict(cluster.gateways[name].maps["levels"]))
-            for name in cluster.sites
+            for name in cluster.gateway_names
         }
         cluster.kill("m0")
         cluster.run(3, rate=20)
@@ -159,17 +159,17 @@
             before,
             {
                 name: (cluster.usable_weights(name, "ask"), dict(cluster.gateways[name].maps["levels"]))
-                for name in cluster.sites
+                for name in cluster.gateway_names
             },
         )
         since = cluster.clock.seconds()
         cluster.start_manager("m0")
         cluster.run(5, rate=20)
-        self.assertEqual({cluster.holder(name) for name in cluster.sites}, {"m0"})
+        self.assertEqual({cluster.holder(name) for name in cluster.gateway_names}, {"m0"})
         self.assertFalse(
             [
                 words
-                for name in cluster.sites
+                for name in cluster.gateway_names
                 for words in cluster.change_commands(name, since)
                 if words[0] == "add" and words[1] == "server"
             ]
@@ -179,7 +179,7 @@
     def test_a_restarted_gateway_gets_its_whole_table_again(self) -> None:
         cluster = FakeCluster()
         cluster.run(8, rate=20)
-        cluster.wires["m0", "g0"].abortConnection()
+        cluster.connections["m0", "g0"].abortConnection()
         cluster.down.add("g0")
         cluster.run(2)
         cluster.down.clear()
@@ -209,7 +209,7 @@
         cluster.run(8, rate=20)
         ctl(cluster.managers["m0"], "disable server fleet/s0")
         cluster.run(FORGET_AFTER / SECOND + 10, rate=20)
-        cluster.wires["m0", "g0"].abortConnection()
+        cluster.connections["m0", "g0"].abortConnection()
         cluster.start_gateway("g0", pid=2)  # its initial table names s0
         cluster.run(8, rate=20)
         for lines in cluster.gateways["g0"].backends.values():
@@ -246,7 +246,7 @@
     def test_a_gateway_of_a_silent_link_is_left_and_its_demand_still_counts(self) -> None:
         cluster = FakeCluster()
         cluster.run(8, rate=20)
-        transport = cluster.wires["m0", "g1"]
+        transport = cluster.connections["m0", "g1"]
         assert transport.other is not None
         transport.other.muted = True  # it still receives and executes commands, but its answers are lost
         cluster.down.add("g1")
@@ -261,7 +261,7 @@
     def check_recovery_from(self, text: bytes) -> FakeCluster:
         cluster = FakeCluster()
         cluster.run(6, rate=20)
-        transport = cluster.wires["m0", "g1"]
+        transport = cluster.connections["m0", "g1"]
         assert transport.other is not None
 
         def answer_with_garbage(name: str, near: FakeTransport) -> None:
@@ -304,7 +304,7 @@
             state = ("drain", "ready")[turn % 2]
             ctl(cluster.managers["m0"], f"set server fleet/s{turn % 3} state {state}")
             cluster.run(0.5, rate=20)
-        for name in cluster.sites:
+        for name in cluster.gateway_names:
             wrote = [
                 at
                 for at, site, words, _ in cluster.sent
@@ -315,7 +315,7 @@
     def test_a_slow_gateway_gets_one_message_at_a_time_and_catches_up(self) -> None:
         cluster = FakeCluster(cap=60)
         cluster.run(6, rate=20)
-        for transport in cluster.wires.values():
+        for transport in cluster.connections.values():
             assert transport.other is not None
             transport.other.delay = 0.9
         for turn in range(10):
@@ -328,7 +328,7 @@
                 max(driver.unanswered_commands() for driver in cluster.managers["m0"].drivers), 70
             )
         cluster.run(8, rate=20)
-        for name in cluster.sites:
+        for name in cluster.gateway_names:
             usable = cluster.usable_weights(name, "pay")
             self.assertEqual({"s0", "s1"} & set(usable), set(), usable)
 
@@ -341,14 +341,14 @@
 
     def pool_shares(self, cluster: FakeCluster, server: str) -> list[float]:
         """The server's share of each gateway's pool of `pay`."""
-        pools = [cluster.usable_weights(name, "pay") for name in cluster.sites]
+        pools = [cluster.usable_weights(name, "pay") for name in cluster.gateway_names]
         return [pool.get(server, 0) / sum(pool.values()) for pool in pools]
 
     def test_a_table_that_points_everything_at_one_collector_is_refused_with_its_reason(self) -> None:
         cluster = self.make_cluster()
         manager, before = (
             cluster.managers["m0"],
-            [cluster.usable_weights(name, "pay") for name in cluster.sites],
+            [cluster.usable_weights(name, "pay") for name in cluster.gateway_names],
         )
         self.assertEqual(ctl(manager, "prepare table"), "New version created: 1\n")
         for k in range(1, 8):
@@ -357,7 +357,7 @@
         self.assertTrue(answer.startswith("refused: Refused: "), answer)
         self.assertIn("would be accepted", answer)
         cluster.run(3, rate=20)
-        self.assertEqual(before, [cluster.usable_weights(name, "pay") for name in cluster.sites])
+        self.assertEqual(before, [cluster.usable_weights(name, "pay") for name in cluster.gateway_names])
         self.assertIn("operator:", ctl(manager, "show table refused"))
 
     def test_a_listed_size_that_would_draw_everything_is_refused_and_a_sound_one_is_not(self) -> None:
@@ -415,7 +415,7 @@
         )
         cluster.kill("m0")
         cluster.run(12, rate=20)
-        self.assertEqual({cluster.holder(name) for name in cluster.sites}, {"m1"})
+        self.assertEqual({cluster.holder(name) for name in cluster.gateway_names}, {"m1"})
         self.assertTrue(
             all(a >= 0.6 * b for a, b in zip(self.pool_shares(cluster, "s0"), before, strict=True))
         )
@@ -426,7 +426,7 @@
         ctl(manager, "set weight pay/s0 50%")
         ctl(manager, "set server fleet/s2 state drain")
         cluster.run(2.2, rate=20)
-        self.assertFalse(any("s2" in cluster.usable_weights(name, "pay") for name in cluster.sites))
+        self.assertFalse(any("s2" in cluster.usable_weights(name, "pay") for name in cluster.gateway_names))
 
     def test_an_invalid_table_of_the_core_is_an_error_and_the_last_good_table_stays(self) -> None:
         cluster = self.make_cluster()
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -367,7 +367,7 @@
         for name in ("m0", "m1"):
             cluster.start_manager(name)
         cluster.run(20, 20)
-        for name in cluster.sites:
+        for name in cluster.gateway_names:
             writes = [
                 when
                 for when, site, words, _ in cluster.sent
