--- a/benchmarks/restart.py
+++ b/benchmarks/restart.py
@@ -53,7 +53,7 @@
         elif memory_state != "kept":
             write_wrong_memory(cluster)
         # The gateways restart too and lose their tables, so that only the memory keeps what was learned.
-        for site in cluster.sites:
+        for site in cluster.gateway_names:
             cluster.start_gateway(site, pid=2)
         cluster.start_manager("m0")
         deviation, settled = 0.0, 0.0
