The soak finds ready workers that a proxy goes on shutting out

Its judge now wants a healthy worker that is ready and in a proxy's table to be let back within the time that a proxy may be without a worker, and a third of the workers that leave are away for up to half of the run.

--- a/rushladder/standins/platform.py
+++ b/rushladder/standins/platform.py
@@ -374,6 +374,10 @@
     def usable_workers(self) -> set[str]:
         return {name for name, weight in self.table.items() if weight > 0} - self.withdrawn
 
+    def withdrawn_workers(self) -> set[str]:
+        """The workers of its table that it shuts out."""
+        return {name for name, weight in self.table.items() if weight > 0} & self.withdrawn
+
     def connect(self) -> None:
         """Opens a new stream, whether or not there is one already."""
         if self.stopped:
--- a/rushladder/trials/soak.py
+++ b/rushladder/trials/soak.py
@@ -280,7 +280,9 @@
                 return
             state = "draining" if action == "drain" else "gone"
             self._change_entry(entry(name, self._workers[name].port, state))
-            away_for = 1 + 2 * GRACE * self._random.random()  # some return within the grace, some after it
+            # Some return within the grace, some after it, and some after the manager's next start.
+            longest = self._random.choice((2 * GRACE, 2 * GRACE, max(2 * GRACE, 0.5 * self._seconds)))
+            away_for = 1 + longest * self._random.random()
             self._later(away_for, self._return_worker, name, action == "drain")
         elif action == "new" and len(entries) < 2 * WORKERS:
             name, self._next_worker = f"w{self._next_worker}", self._next_worker + 1
@@ -392,9 +394,11 @@
         elapsed = self._now() - self._last_check
         self._judge.lateness = max(self._judge.lateness, elapsed - CHECK_EVERY)
         self._last_check = self._now()
+        healthy = {name for name, port in self._workers.items() if port.healthy}
         for proxy in self._proxies:
             if proxy.stream is not None:
                 self._judge.check_workers(self._now(), proxy.number, proxy.usable_workers())
+                self._judge.check_shut_out(self._now(), proxy.number, healthy & proxy.withdrawn_workers())
         overdue = [client for client in self._unidentified if client.is_overdue()]
         for client in overdue:
             sent = self._unidentified.pop(client)
--- a/rushladder/trials/soak_judge.py
+++ b/rushladder/trials/soak_judge.py
@@ -55,6 +55,7 @@
         self._listed, self._left_at, self._ready_workers = set[str](), dict[str, float](), set[str]()
         self._streams, self._empty_since = dict[int, _StreamState](), dict[int, float]()
         self._serving_since, self._reported = 0.0, set[tuple[int, str]]()
+        self._shut_out_since = dict[int, dict[str, float]]()  # by proxy and worker
 
     def add_violation(self, at: float, connection: str, detail: str, context: Collection[str] = ()) -> None:
         self.violations.append(Violation(at, connection, detail, list(context)))
@@ -76,6 +77,7 @@
             self.add_violation(at, "process", f"ended with {code}", log[-CONTEXT_LINES:])
         self._streams.clear()
         self._empty_since.clear()
+        self._shut_out_since.clear()
         self._left_at.clear()
         self._ready_workers.clear()
 
@@ -107,11 +109,13 @@
         """A stream was opened, or a paused one reads again."""
         self._streams[proxy] = _StreamState(at)
         self._empty_since.pop(proxy, None)
+        self._shut_out_since.pop(proxy, None)
 
     def stream_left(self, proxy: int) -> None:
         """A stream ended or stopped reading; nothing is required on it."""
         self._streams.pop(proxy, None)
         self._empty_since.pop(proxy, None)
+        self._shut_out_since.pop(proxy, None)
 
     def message(self, at: float, proxy: int, names: Collection[str], lines: Sequence[str]) -> None:
         """A proxy received a message that names these workers."""
@@ -156,6 +160,24 @@
             self._empty_since[proxy] = at
             self.add_violation(at, f"proxy {proxy}", "no worker to send to", stream.lines)
 
+    def check_shut_out(self, at: float, proxy: int, names: Collection[str]) -> None:
+        """Checks the healthy workers that a joined proxy has in its table and has withdrawn.
+
+        One that is ready has to be let back within the time that a proxy may be without a worker.
+        """
+        stream = self._streams.get(proxy)
+        shut_out = {name for name in names if name in self._ready_workers} if stream is not None else set()
+        since_by_worker = self._shut_out_since.setdefault(proxy, {})
+        for name in since_by_worker.keys() - shut_out:
+            del since_by_worker[name]
+        for name in sorted(shut_out):
+            since = since_by_worker.setdefault(name, max(at, self._serving_since))
+            if stream is not None and at - since > self._bare + SLACK + self.lateness:
+                since_by_worker[name] = at
+                self.add_violation(
+                    at, f"proxy {proxy}", f"still shuts out {name}, a ready worker", stream.lines
+                )
+
     # Other checks.
 
     def unidentified_client(self, at: float, sent: bytes, waited: float) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -58,6 +58,18 @@
             self.judge.check_workers(second, 7, set())
         self.assert_violation("no worker")
 
+    def test_a_ready_worker_that_a_proxy_shuts_out_for_long(self) -> None:
+        for second in range(2, 10):
+            self.judge.check_shut_out(second, 7, {"w0", "w9"})  # w9 is not listed
+        self.judge.stream_joined(10.0, 7)  # its time starts again
+        self.judge.check_shut_out(10.1, 7, {"w0", "w1"})
+        self.judge.check_shut_out(12.0, 7, {"w1"})  # w0 was let back
+        self.judge.check_shut_out(12.1, 7, {"w0", "w1"})
+        self.judge.check_shut_out(18.3, 7, {"w0", "w1"})
+        self.assertEqual(self.judge.violations, [])
+        self.judge.check_shut_out(18.5, 7, {"w0", "w1"})
+        self.assert_violation("proxy 7", "still shuts out w1")
+
     def test_more_messages_than_the_cap(self) -> None:
         for tenth in range(4):
             self.judge.message(2 + tenth / 10, 7, ["w0"], ["CONFIG"])
