The soak waits for a broken watch before it says that discovery is not watched

The check looks at one instant, the last one. The check was rarely wrong before as few changes came so late; with workers that are away for longer they come until the end.

In its place, as strict: the manager has to watch the last address within 4 s (3 s of silence and the longest wait) from the end on. One that does not follow a SIGHUP never does.

--- a/rushladder/trials/soak.py
+++ b/rushladder/trials/soak.py
@@ -39,6 +39,7 @@
 ROOT = Path(__file__).parent.parent.parent
 KILL_AFTER = 0.7  # s after SIGTERM: the earliest time at which the platform sends SIGKILL
 OLD_DISCOVERY_KEPT = 1.5  # s for which a previous address of discovery keeps its watches open
+WATCHED_WITHIN = 4.0  # s in which a broken watch is seen to be silent and is opened again
 CHECK_EVERY = 0.05  # s between two checks of the proxies' workers
 # Drain grace (s), time without a worker (s), messages to a proxy within the span, and the span (s).
 GRACE, BARE, CAP, SPAN = 3.0, 8.0, 12, 10.0
@@ -440,6 +441,10 @@
                 break
             await self._wait(0.1)
         await self._wait(GRACE + 2.0)
+        for _ in range(int(WATCHED_WITHIN / 0.1)):  # the last fault of discovery may have been just now
+            if self._is_discovery_watched():
+                break
+            await self._wait(0.1)
         self._final_check()
         check.stop()
         self._finished = True
@@ -469,11 +474,13 @@
             )
             self._signal(signal.SIGKILL)
 
+    def _is_discovery_watched(self) -> bool:
+        """Whether the manager watches the last configuration's address of discovery."""
+        return any(watch.discovery is self._discovery for watch in self._registry.watches)
+
     def _final_check(self) -> None:
         now = self._now()
-        self._judge.discovery_watched(
-            now, any(watch.discovery is self._discovery for watch in self._registry.watches)
-        )
+        self._judge.discovery_watched(now, self._is_discovery_watched())
         if self._process is not None:
             descriptors = len(os.listdir(f"/proc/{self._process.pid}/fd"))
             pages = int(Path(f"/proc/{self._process.pid}/statm").read_text().split()[1])
