Let workers back as moves are sent where a proxy has one that it certainly uses

Cause: by the code, not traced line by line: in a release each new server costs a line more at every proxy that comes from a former manager, and those lines rode along up to 0.7 of the room, where moves of weights stop at 0.4, so tables followed the release later.

Change: 0.7 holds for a proxy of which some table has no server that it certainly uses (rule 1), as it does right after it joined; for the others the room of moves.

Workers still return in time in all plays of tests/test_returning_workers.py.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -698,9 +698,9 @@
         its own of servers that it has forgotten.
 
         It cannot see which those are, so each line of the proxy's tables is cleared once: with messages that
-        are sent anyway, or where the channel has little else to carry. This includes lines of servers that it
-        sees for the first time: a server that returns under its id after the manager's start looks like a new
-        one.
+        are sent anyway, as far as there is room, or where the channel has little else to carry. This includes
+        lines of servers that it sees for the first time: a server that returns under its id after the
+        manager's start looks like a new one.
         """
         lines, outbox = self._outbox.lines, self._outbox
         has_room = outbox.has_room((), 0, 0.7, outbox.priority_lines)
@@ -717,8 +717,14 @@
         for gateway in [gateway for gateway in outbox.proxies.joined if gateway.tables] if has_room else ():
             named = in_service[gateway.zone, gateway.team]
             servers = [server for server in named if gateway.may_shut_out(server)]
-            fraction = 0.7 if lines.cost([gateway]) <= 1 else 0.2
-            if servers and outbox.has_room([gateway], len(servers), fraction, outbox.priority_lines):
+            if not servers:
+                continue
+            fraction = 0.2
+            if lines.cost([gateway]) <= 1:
+                # A proxy that may have no worker goes first (rule 1). To others one worker more is as a move.
+                certain = named.keys() - servers
+                fraction = 0.4 if all(certain & table.lines.keys() for table in gateway.tables) else 0.7
+            if outbox.has_room([gateway], len(servers), fraction, outbox.priority_lines):
                 self._host.clear_stale_withdrawals(gateway, servers)
                 lines.add([gateway], len(servers))
                 gateway.add_cleared_withdrawals(servers, named)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -19,7 +19,7 @@
     Retry,
 )
 from rushladder.lines import PendingLines
-from rushladder.records import Gateway, Server
+from rushladder.records import Gateway, Server, ServerState
 from tests.fake_host import ASK, PAY, SECOND, FakeHost
 
 
@@ -314,6 +314,26 @@
         host.run(5)
         self.assertEqual({(server, True) for server in gone}, set(host.orders_named("set_withdrawn")))
 
+    def test_a_proxy_that_may_have_no_worker_goes_before_moves_and_others_do_not(self) -> None:
+        """In a release each new server costs a line at every proxy of a former manager: where those lines
+        went before moves, the tables followed the release late."""
+        host = FakeHost()
+        gateway = host.gateways[0]
+        self.take_over(host, gateway)
+        host.run(10)
+        tables, outbox = host.manager._tables, host.manager._outbox
+        new = Server("new", "a", "m", 0)
+        new.state = new.published_state = ServerState.SERVING
+        gateway.tables[0].lines[new] = 1.0
+        outbox.lines.pending = 0.55 * outbox._soft_limit
+        outbox.lines.add([gateway])  # a message that goes out anyway
+        before = len(self.cleared(host))
+        tables.clear_stale_withdrawals()
+        self.assertEqual(len(self.cleared(host)), before)
+        gateway.cleared_withdrawals.clear()
+        tables.clear_stale_withdrawals()
+        self.assertIn((gateway, new), self.cleared(host)[before:])
+
     def test_joiners_and_a_full_channel_go_first(self) -> None:
         host = FakeHost(gateways=60, pending=600.0)
         self.take_over(host, *host.gateways[:40])
