--- a/review/platform2/deployment.py
+++ b/review/platform2/deployment.py
@@ -622,7 +622,10 @@
 
     def add_collectors(self, manager: Manager) -> None:
         for zone in self.settings["azs"]:
-            self.spawn(Collector(self, zone, manager).run())
+            self.add_collector(zone, manager)
+
+    def add_collector(self, zone: str, manager: Manager) -> None:
+        self.spawn(Collector(self, zone, manager).run())
 
     def add_try(self, zone: str, name: str, good: bool, seconds: float) -> None:
         sums = self._tries.setdefault(zone, {}).setdefault(name, [0, 0, 0.0])
