Close the stand-ins' connections at the end of a review case

Cause: writers that were never closed made the interpreter complain on standard error after the verdict. Change: proxies' and collectors' connections are closed as the case ends.

--- a/review/platform2/deployment.py
+++ b/review/platform2/deployment.py
@@ -567,14 +567,17 @@
             except OSError:
                 await asyncio.sleep(0.5)
                 continue
-            with contextlib.suppress(OSError):
+            try:
                 writer.write(f"SOURCE zone={self.zone}\r\n".encode())
                 while not reader.at_eof() and not writer.is_closing():
                     await asyncio.sleep(REPORT_SECONDS)
                     for line in self._deployment.take_tries(self.zone, self.manager):
                         writer.write(line.encode())
                     await writer.drain()
-            writer.close()
+            except OSError:
+                pass
+            finally:
+                writer.close()
             await asyncio.sleep(0.5)
 
 
@@ -654,6 +657,8 @@
     async def end(self) -> None:
         for proxy in self.proxies:
             proxy.stopped = True
+            if proxy.writer is not None:
+                proxy.writer.close()
         for manager in self.managers:
             await manager.end()
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
