--- a/review/platform2/deployment.py
+++ b/review/platform2/deployment.py
@@ -687,11 +687,15 @@
 
     async def main() -> int:
         deployment = Deployment(case, settings, mix)
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # the processes are ended then too
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         trouble = os.environ.get("TROUBLE", "1") != "0"
         deployment.record.write("case", trouble=int(trouble))
         try:
             breaches: list[str] = await asyncio.wait_for(script(deployment, trouble), MAX_SECONDS)
-        except (CannotRun, TimeoutError, OSError) as error:
+        except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
             deployment.record.write("case", cannot_run=f"{type(error).__name__}:{error}")
             print(f"the case could not run: {type(error).__name__}: {error}")
             return 2
