--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,14 +14,15 @@
 from judges import ColdJudge, Told  # noqa: E402
 
 ZONES = ["a", "b", "c"]
-WORKERS = {"a": 3, "b": 3, "c": 2}  # 8: as today's smallest day of gent-collect
+WORKERS = {"a": 5, "b": 4, "c": 3}  # 12: as gent-collect's busiest days
 PROXIES = 6
 CAPACITY, WORK = 2.4, 0.24  # core-seconds a second (4 cores of 0.6), and for a request
-LOAD = 0.75  # of the capacity of all workers: 0.69 to 0.78 on a day with a trouble
-MIX = [0.41, 0.33, 0.26]  # balance 0.38 to 0.56, mandate 0.23 to 0.35, collect 0.19 to 0.29
+LOAD = 0.54  # of the capacity of all workers: 0.37 to 0.54 on a quiet day
+SKEW = 1.17  # zone c has so much more than its part: 0.03 to 0.18
+MIX = [0.39, 0.34, 0.27]  # balance 0.38 to 0.56, mandate 0.23 to 0.35, collect 0.19 to 0.29
 CRASH_AT, CRASH_SECONDS = 8.0, 8.0  # crash: one in four, 5 to 25 s
 NOTICED_AFTER = 1.2  # 0.83 to 4.4 s from a crash to the list's change
-LISTED_AFTER = (0.4, 2.2)  # 0.28 to 2.3 s from a start to the list's change
+LISTED_AFTER = (0.3, 1.3, 2.3)  # 0.28 to 2.3 s from a start to the list's change
 END = 26.0
 
 
@@ -52,7 +53,8 @@
     deployment.add_collectors(manager)
     rate = LOAD * CAPACITY * len(deployment.workers) / WORK / PROXIES
     for number in range(PROXIES):
-        deployment.add_proxy(number, ZONES[number % len(ZONES)], rate, manager)
+        zone = ZONES[number % len(ZONES)]
+        deployment.add_proxy(number, zone, rate * (SKEW if zone == "c" else (3 - SKEW) / 2), manager)
     await asyncio.sleep(CRASH_AT)
     if trouble:
         dying = [worker for worker in deployment.workers.values() if worker.zone == "c"]
