--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,77 @@
+"""Case 6: a manager moves all requests of its zone from warm workers to the first one that returns cold."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from functools import partial
+from pathlib import Path
+
+CASE = Path(__file__).resolve().parent
+sys.path.insert(0, str(CASE.parent / "platform2"))
+
+from deployment import Deployment, Manager, Worker, lane, make_settings, play  # noqa: E402
+from judges import ColdJudge, Told  # noqa: E402
+
+ZONES = ["a", "b", "c"]
+WORKERS = {"a": 3, "b": 3, "c": 2}  # 8: as today's smallest day of gent-collect
+PROXIES = 6
+CAPACITY, WORK = 2.4, 0.24  # core-seconds a second (4 cores of 0.6), and for a request
+LOAD = 0.5  # of the capacity of all workers: 0.37 to 0.54 on a quiet day
+MIX = [0.47, 0.29, 0.24]
+CRASH_AT, CRASH_SECONDS = 8.0, 8.0  # crash: one in four, 5 to 25 s
+NOTICED_AFTER = 1.2  # 0.83 to 4.4 s from a crash to the list's change
+LISTED_AFTER = (0.4, 2.2)  # 0.28 to 2.3 s from a start to the list's change
+END = 26.0
+
+
+async def crash(deployment: Deployment, judge: ColdJudge, worker: Worker, listed_after: float) -> None:
+    await worker.stop()
+    await asyncio.sleep(NOTICED_AFTER)
+    deployment.discovery.put(worker, state="gone")
+    await asyncio.sleep(CRASH_SECONDS - NOTICED_AFTER)
+    judge.started_cold(worker.name)
+    await worker.start(cold=True)
+    await asyncio.sleep(listed_after)
+    if worker.mode == "up":
+        deployment.discovery.put(worker)
+
+
+async def script(deployment: Deployment, trouble: bool) -> list[str]:
+    for zone, count in WORKERS.items():
+        for number in range(count):
+            deployment.add_worker(f"s-{zone}{number}", zone)
+    await deployment.start_workers()
+    told = Told(deployment)
+    judge = ColdJudge(deployment, told, CAPACITY, WORK)
+    for name, worker in deployment.workers.items():
+        worker.service = partial(judge.serve, name)
+    for number, zone in enumerate(ZONES):  # a manager in each zone, which the zone's proxies join
+        settings = {**SETTINGS, "me": number, "my_zone": zone}
+        deployment.managers.append(Manager(deployment, f"n{number}", settings))
+    await asyncio.gather(*(manager.start() for manager in deployment.managers))
+    for manager in deployment.managers:
+        deployment.add_collector(manager.settings["my_zone"], manager)
+    rate = LOAD * CAPACITY * len(deployment.workers) / WORK / PROXIES
+    for number in range(PROXIES):
+        place = number % len(ZONES)
+        deployment.add_proxy(number, ZONES[place], rate, deployment.managers[place])
+    await asyncio.sleep(CRASH_AT)
+    if trouble:
+        dying = [worker for worker in deployment.workers.values() if worker.zone == "c"]
+        for worker, listed_after in zip(dying, LISTED_AFTER, strict=True):
+            deployment.spawn(crash(deployment, judge, worker, listed_after))
+    await asyncio.sleep(END - deployment.now())
+    return judge.breaches
+
+
+SETTINGS = {
+    **make_settings(
+        ZONES,
+        [lane("balance", 1200, 3000), lane("mandate", 2000, 5000), lane("collect", 2000, 5000)],
+        PROXIES,
+    ),
+    "group_size": len(ZONES),
+}
+if __name__ == "__main__":
+    play(CASE, SETTINGS, MIX, script)
