Read the sockets before overdue timers after a standstill of the process

In 2 of 4 standstills the watch was dialled again for a silence that was the manager's own. Cause: the reactor runs due timers before it polls. After a standstill the interrupted poll is empty, so the overdue period was decided, and timeouts ended, before what had arrived was read. A batch also handled reminders before its events. Change: a reactor that polls once more before timers late by over 0.25 s; events of a batch before its reminders. The test of a stopped process no longer accepts that the watch is dialled again: the old one has to go on. Why it works: what arrived during a standstill is in the batch of the overdue period, or resets the timeout that waited for it.

--- a/rushladder/cli/main.py
+++ b/rushladder/cli/main.py
@@ -47,7 +47,10 @@
 def run(file: str) -> None:
     """Runs the manager that FILE describes, until SIGTERM or SIGINT."""
     config = load_config(file)
-    from rushladder.service.run import run as serve  # installs the reactor, which only `run` needs
+    from rushladder.service.reactor import install_reactor
+
+    install_reactor()  # before the next import, which would install the default one
+    from rushladder.service.run import run as serve
 
     sys.exit(serve(config))
 
--- a/rushladder/core/host.py
+++ b/rushladder/core/host.py
@@ -191,14 +191,14 @@
     # Input.
 
     def process_batch(self, now: int, *events: Event) -> None:
-        """Passes one batch of events to the module, after the reminders that are due by `now`."""
+        """Passes one batch of events to the module, and then the reminders that are due by `now`."""
         self._now = max(now, self._now)
-        for reminder in self._reminders.due(self._now):
-            self.manager.handle(reminder)
         for event in events:
             self.manager.handle(event)
             if isinstance(event, Listing):
                 self._on_listing(event)
+        for reminder in self._reminders.due(self._now):
+            self.manager.handle(reminder)
         self.manager.end_batch()
         self._check_changed_tables()
         self._pending_sessions |= self._touched_sessions
--- a/rushladder/service/node.py
+++ b/rushladder/service/node.py
@@ -34,6 +34,7 @@
 from rushladder.records import Server
 from rushladder.service.logs import make_log
 from rushladder.service.probing import Prober
+from rushladder.service.reactor import install_reactor
 from rushladder.service.throttled_log import ThrottledLog
 from rushladder.streams.codec import parse_load_report
 from rushladder.streams.host import StreamHost
@@ -491,9 +492,7 @@
     except ConfigurationError as error:
         log.error("configuration", why=str(error))
         return 2
-    from twisted.internet import reactor as installed_reactor
-
-    reactor: Any = installed_reactor
+    reactor = install_reactor()
 
     def observe(event: Mapping[str, Any]) -> None:
         if event.get("log_level") in (LogLevel.error, LogLevel.critical):
--- a/rushladder/streams/host.py
+++ b/rushladder/streams/host.py
@@ -111,7 +111,10 @@
     # Events.
 
     def process_batch(self, now: int, events: Collection[Event] = ()) -> None:
-        """Handles one batch: the reminders that are due, then the events. Then sends what was ordered.
+        """Handles one batch: the events, then the reminders that are due. Then sends what was ordered.
+
+        The events go first, as a periodic decision should know of them: after a standstill of the process,
+        both are in the same batch.
 
         An exception of the module in one event must not lose the other events, such as a joining or a drain:
         it is raised at the end of the batch.
@@ -119,7 +122,7 @@
         self._now = max(now, self._now)
         errors = list[Exception]()
         # None stands for the end of the batch.
-        for event in (*self._reminders.due(self._now), *events, None):
+        for event in (*events, *self._reminders.due(self._now), None):
             try:
                 if event is not None:
                     self.manager.handle(event)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -484,12 +484,15 @@
     """With a cap of twelve messages to a proxy in ten seconds, which the settings may contain."""
 
     def setUp(self) -> None:
-        self.now, self.sent = 1000 * SECOND, list[int]()
+        self.now, self.sent, self.messages = 1000 * SECOND, list[int](), list[bytes]()
         self.host = StreamHost(7, FakeHost(cap=12).manager_args, self.now, lambda *_: None, lambda *_: None)
-        catalog = Catalog(Workers(), lambda ms: 1, lambda *_: None)
-        found = catalog.read_line(listing(1, *(entry(f"s{k}") for k in range(6))))
+        self.catalog = Catalog(Workers(), lambda ms: 1, lambda *_: None)
+        self.run_for(0.0, self.listing(1, *(entry(f"s{k}") for k in range(6))))
+
+    def listing(self, version: int, *entries: dict[str, Any], full: bool = True) -> Event:
+        found = self.catalog.read_line(listing(version, *entries, full=full))
         assert found is not None
-        self.run_for(0.0, found)
+        return found
 
     def run_for(self, seconds: float, *events: Event) -> None:
         end = self.now + int(seconds * SECOND)
@@ -505,6 +508,7 @@
         class Stream:
             def send(self, message: bytes) -> None:
                 test.sent.append(test.now)
+                test.messages.append(message)
 
             def abort(self) -> None:
                 pass
@@ -524,6 +528,15 @@
         self.run_for(10.0)
         self.assertGreater(len(self.sent), before)  # the delayed message is sent without a further event
 
+    def test_drain_that_is_read_with_an_overdue_period_goes_out_with_it(self) -> None:
+        # Guards against: the overdue period was decided before the change that was read with it, which then
+        # waited for another period.
+        self.join()
+        self.run_for(3.0)
+        self.now += 2 * SECOND  # the process stands still
+        self.host.process_batch(self.now, [self.listing(2, entry("s0", "draining"), full=False)])
+        self.assertIn(b"drop=s0", self.messages[-1])
+
     def test_proxy_that_leaves_while_delayed_is_forgotten(self) -> None:
         for _ in range(13):
             self.join()
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -170,6 +170,11 @@
         self.test.assertTrue(found, f"{text} not in {self._log}")
         return found[0]
 
+    def log_text(self) -> str:
+        """What the process has logged so far."""
+        with self._line_read:
+            return "".join(self._log)
+
     def start_and_wait(self) -> "Manager":
         self.write()
         self.start().logged("node.serves")
@@ -642,20 +647,31 @@
                 connection.until(f"drop={name}")
 
     def test_process_that_was_stopped_continues(self) -> None:
+        # Guards against: after a standstill the timers ran before the sockets were read, and the watch was
+        # ended for its silence while a change waited in it.
         manager, watch, proxy = self.start_manager()
         os.kill(manager.process.pid, signal.SIGSTOP)
         watch.chunk(listing(42, entry("s-2", state="draining")))
         started = time.monotonic()
         self.assertTrue(self.discovery.no_connection(3.2))  # longer than the silence timeout
         os.kill(manager.process.pid, signal.SIGCONT)
-        # Either the old watch continues, or a new one asks for the changes since the known version.
-        if not self.discovery.no_connection(1.0):
-            again = self.discovery.accept()
-            if again.watch_index() == "41":
-                again.send(RESPONSE_HEAD)
-                again.chunk(listing(42, entry("s-2", state="draining")))
         proxy.until("drop=s-2")
         self.assertGreater(time.monotonic() - started, 3)
+        watch.chunk(listing(43, entry("s-3", state="draining")))
+        proxy.until("drop=s-3")  # the watch has not ended
+        self.assertNotIn("list.silent", manager.log_text())
+
+    def test_joining_that_arrived_during_a_standstill_is_read_before_its_timeout(self) -> None:
+        # Guards against: a connection was refused as not joined although its joining waited in the socket.
+        manager, _, _ = self.start_manager()
+        connection = manager.connect()
+        connection.send(b"PING\r\n")
+        self.assertEqual(connection.line(), "PONG")  # it is accepted, and its time runs
+        os.kill(manager.process.pid, signal.SIGSTOP)
+        connection.join(7)
+        self.assertTrue(self.discovery.no_connection(1.5))  # longer than the time to join
+        os.kill(manager.process.pid, signal.SIGCONT)
+        connection.until("replace=1")
 
 
 if __name__ == "__main__":
