Count the grace of a drain read after a standstill from when it may have been told

Callers would see: drains told while a manager stands still, read beside joiners that wait for room, are ordered after the grace. Cause: a withdrawal may wait for joiners until the time since it was learned and what is to come add up to the grace; that time began at the reading. Change: StreamHost tells with a listing how long it may have waited unread (since the last batch, if a reminder is over 0.25 s late); the module counts from then. Why it works: the last batch read all that had been told by then, and after a standstill the sockets are read first. Virtual clock alone, no run with real processes.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -160,10 +160,11 @@
         self._host, self._products, self._may_probe = host, products, probes
         self._cold_time, self._cold_from = guarantee.cold_time, guarantee.cold_from
         self.servers, self.congested = dict[Server, None](), True  # congested until reports show otherwise
-        self._last_forgotten_at = 0
+        self._last_forgotten_at = self._listed_at = 0  # _listed_at: when the last list was told
 
     def on_listing(self, event: Listing[Server]) -> None:
         """Takes over a list. A server that a full list lacks is unavailable."""
+        self._listed_at = self._host.now() - event.waited
         if event.kind is not ListKind.CHANGES:
             named = {entry.worker for entry in event.entries}
             for absent in [server for server in self.servers if server not in named]:
@@ -213,7 +214,7 @@
         server.reset_estimates()
 
     def _on_unavailable(self, server: Server) -> None:
-        unavailable_since = server.unavailable_since or self._host.now()
+        unavailable_since = server.unavailable_since or self._listed_at
         self._reset(server)
         server.unavailable_since = unavailable_since
 
--- a/rushladder/interface.py
+++ b/rushladder/interface.py
@@ -158,11 +158,15 @@
 
 @dataclass(frozen=True)
 class Listing(Generic[W]):
-    """A list of workers, or the failure to get one."""
+    """A list of workers, or the failure to get one.
+
+    waited: for how long it may have been told already, unread, because the process stood still.
+    """
 
     kind: ListKind
     version: int
     entries: Sequence[Entry[W]] = ()
+    waited: int = 0
 
 
 @dataclass(frozen=True)
--- a/rushladder/streams/host.py
+++ b/rushladder/streams/host.py
@@ -9,12 +9,13 @@
 
 from collections import deque
 from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import replace
 from typing import Any, Protocol
 from weakref import WeakSet
 
 from rushladder.brain import Manager
 from rushladder.core.reminders import Reminders
-from rushladder.interface import Channel, Event, Joined, Left, Product, Proxy, Retry, Worker
+from rushladder.interface import Channel, Event, Joined, Left, Listing, Product, Proxy, Retry, Worker
 from rushladder.records import Gateway, Server
 from rushladder.streams.channel_meter import ChannelMeter, Purpose
 from rushladder.streams.codec import MARK_MODULUS, MAX_MESSAGE_PARTS, format_config, join_parts
@@ -23,6 +24,8 @@
 # written, but by the platform when their last byte arrives, up to a quarter of a second later in every run so
 # far.
 CAP_MARGIN_TENTHS = 2_500
+# A reminder that is later than this, in tenths of a millisecond, shows that the process stood still.
+STANDSTILL_TENTHS = 2_500
 MAX_ROWS_PER_PART = 10_000  # some 400 KB, below the protocol's limit for a message
 
 
@@ -119,12 +122,15 @@
         An exception of the module in one event must not lose the other events, such as a joining or a drain:
         it is raised at the end of the batch.
         """
+        standstill = self._standstill(now)
         self._now = max(now, self._now)
         errors = list[Exception]()
         # None stands for the end of the batch.
         for event in (*events, *self._reminders.due(self._now), None):
             try:
-                if event is not None:
+                if standstill and isinstance(event, Listing):
+                    self.manager.handle(replace(event, waited=standstill))
+                elif event is not None:
                     self.manager.handle(event)
                 else:
                     self.manager.end_batch()
@@ -147,6 +153,12 @@
         if errors:
             raise errors[0]
 
+    def _standstill(self, now: int) -> int:
+        """For how long the process may have stood still until now: since the last batch if a reminder is long
+        overdue, otherwise 0."""
+        due = self._reminders.next()
+        return now - self._now if due is not None and now > due + STANDSTILL_TENTHS else 0
+
     def next_wakeup(self) -> int | None:
         """When the next reminder is due or the next delayed stream may be written; None if neither."""
         due = self._reminders.next()
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -66,6 +66,23 @@
         )
         self.assertLessEqual(host.manager._outbox.lines.pending, 2400)
 
+    def test_withdrawals_that_waited_unread_wait_that_much_less_for_joining_proxies(self) -> None:
+        # Guards against: drains told while the manager stood still waited behind joiners for the whole grace
+        # again, and arrived after it.
+        grace = replace(FakeHost().manager_args["guarantee"], drain_grace=100_000)
+        for waited in (0, 20_000, 40_000):
+            host = FakeHost(servers=40, gateways=180, pending=2400.0, guarantee=grace)
+            host.join(*host.gateways[:90])
+            host.run(2)
+            host.answers_marks = False  # the channel is full and no longer drains
+            host.join(*host.gateways[90:])
+            gone, told_at = host.servers[:8], host.clock - waited
+            entries = [Entry(server, Availability.GONE, 1.0, 0) for server in gone]
+            host.deliver(Listing(ListKind.CHANGES, 1, entries, waited))
+            while not host.orders_named("set_withdrawn"):
+                host.run(1)
+            self.assertLess(host.clock, told_at + 100_000 - 5_000, waited)  # the grace less the longest delay
+
     def test_in_a_large_fleet_withdrawals_wait_for_the_period(self) -> None:
         host = FakeHost(servers=24, gateways=300, pending=9000.0)
         host.join()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -486,7 +486,8 @@
     def setUp(self) -> None:
         self.now, self.sent, self.messages = 1000 * SECOND, list[int](), list[bytes]()
         self.host = StreamHost(7, FakeHost(cap=12).manager_args, self.now, lambda *_: None, lambda *_: None)
-        self.catalog = Catalog(Workers(), lambda ms: 1, lambda *_: None)
+        self.workers = Workers()
+        self.catalog = Catalog(self.workers, lambda ms: 1, lambda *_: None)
         self.run_for(0.0, self.listing(1, *(entry(f"s{k}") for k in range(6))))
 
     def listing(self, version: int, *entries: dict[str, Any], full: bool = True) -> Event:
@@ -537,6 +538,19 @@
         self.host.process_batch(self.now, [self.listing(2, entry("s0", "draining"), full=False)])
         self.assertIn(b"drop=s0", self.messages[-1])
 
+    def test_change_that_is_read_after_a_standstill_counts_as_told_before_it(self) -> None:
+        # Guards against: the grace of a drain was counted from when it was read, though it may have been told
+        # when the process had just begun to stand still.
+        self.join()
+        self.run_for(3.0)
+        for version, seconds in ((2, 2.0), (3, 0.1)):
+            before, server = self.now, self.workers.get(f"s{version}")
+            assert server is not None
+            self.now += int(seconds * SECOND)
+            found = self.listing(version, entry(server.name, "draining"), full=False)
+            self.host.process_batch(self.now, [found])
+            self.assertEqual(server.unavailable_since, before if seconds > 1 else self.now)
+
     def test_proxy_that_leaves_while_delayed_is_forgotten(self) -> None:
         for _ in range(13):
             self.join()
