Bound what a cold server gets by the whole fleet, not by its zone's present capacity

Cause: even use is the known demand over the capacity of the zones with known demand. A manager that knows its own zone alone divides by what that zone has at the moment, cold as it is. Change: a cold server's even use is at most 0.6 of the overload factor, times the known demand over the whole fleet's warm capacity, or what warm servers of the own zones settled lately where that is more. Lines that a plan dropped go where together they carry a tenth (they stayed, each under the hysteresis). Why it works: all managers' known demands add up to the fleet's, so their parts at a cold server stay under 0.6 of what makes it fail.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -70,6 +70,7 @@
 SPREAD_OVERLOAD = 0.25  # of a server's limit; more lines rather than that each carries more
 SPLIT_TEAM_LINES = 30  # in a table of a split team, divided by the split
 ROOM_MARGIN = 0.1  # of even use, which is not known more precisely; this much more stays near
+COLD_OVERLOAD = 0.6  # of the multiple of its capacity at which a cold server fails
 NEGLIGIBLE = 1e-6  # of a table's demand: rounding errors of the sums
 LARGE_SURPLUS = 0.6  # of the room in other zones
 MAX_OVERCOMMIT_ROUNDS = 20  # each doubles the margin
@@ -159,6 +160,7 @@
     def __init__(self, host: Host, products: Sequence[Product], guarantee: Guarantee, probes: bool) -> None:
         self._host, self._products, self._may_probe = host, products, probes
         self._cold_time, self._cold_from = guarantee.cold_time, guarantee.cold_from
+        self.overload_factor = guarantee.overload_factor
         self.servers, self.congested = dict[Server, None](), True  # congested until reports show otherwise
         self._last_forgotten_at = self._listed_at = 0  # _listed_at: when the last list was told
 
@@ -461,6 +463,8 @@
         # A budget of 0 admits everything.
         self._state, self._shares, self._budget = LoadState.NORMAL, dict[Product, float](), 0.0
         self._joined_since = 0  # when the first of its proxies joined
+        # The greatest rate for a unit of capacity that warm servers near the own proxies have settled lately.
+        self.proven_use = 0.0
         # The median server's latency, that with its last change added, its average in calm times, its limit;
         # a server's txns in flight in calm times; the best recent rate.
         self._median = self._latency = self.calm_latency = self._limit = self._calm_txns = self._best = 0.0
@@ -477,11 +481,9 @@
         # The settled rate needs a whole report cycle. For the median, the servers that reported last are as
         # good and fresher.
         now, serving = self._host.now(), self._fleet.in_service()
-        cycle_totals, latest = (
-            [sums for server in serving if (sums := server.recent_totals(now, buckets))[0] >= 3]
-            for buckets in (1 + self._demand.report_cycle(), 2)
-        )
-        self._settled_rate = sum(sums[4] for sums in cycle_totals)
+        cycle_totals = {s: s.recent_totals(now, 1 + self._demand.report_cycle()) for s in serving}
+        latest = [sums for server in serving if (sums := server.recent_totals(now, 2))[0] >= 3]
+        self._settled_rate = sum(sums[4] for sums in cycle_totals.values() if sums[0] >= 3)
         # As the design specifies, the budget scales with the own proxies: one that comes or goes takes its
         # part along.
         before, self._usual_rate = (
@@ -498,6 +500,7 @@
             # Until a cycle of reports is in, at least the usual rate counts. A manager that restarted under
             # load took the first reports for all that the servers could do, and declined nine tenths.
             self._best = max(self._best, self._usual_rate)
+        self.proven_use = max(self._settled_use(cycle_totals), 0.975 * self.proven_use)
         void_fraction = median_high([sums[1] / sums[0] for sums in latest] or [0.0])
         previous = self._median
         self._median = median_high([sums[3] / sums[2] for sums in latest if sums[2]] or [0.0])
@@ -523,6 +526,17 @@
             else LoadSignal.LIMITED
         )
 
+    def _settled_use(self, totals: Mapping[Server, Sequence[float]]) -> float:
+        """The rate for a unit of capacity that warm servers settle, in the zones of the own proxies."""
+        near = [
+            server
+            for server in totals
+            if self._fleet.ramp(server) >= 1 and self._outbox.proxies.in_zone(server.zone)
+        ]
+        # One on trial after an exclusion has a small factor, and for some time reports of its former txns.
+        capacity = sum(server.size * max(1.0, server.factor) for server in near)
+        return sum(totals[server][4] for server in near) / (capacity or 1.0)
+
     def _remove_limits(self) -> None:
         self._budget = 0.0
 
@@ -716,12 +730,17 @@
         own, peers = self._demand.own_rates(), self._demand.peer_rates()
         active_zones = {zone for zone, product in own if own[zone, product] + peers[zone, product] > 0}
         known = sum(size for server, size in capacity.items() if server.zone in active_zones) or 1.0
-        use = max(1e-3, sum(own.values()) + sum(peers.values())) / known
+        demand = max(1e-3, sum(own.values()) + sum(peers.values()))
+        use = demand / known
+        # The known demand may be that of one zone, and what that zone has of capacity cold (rule 4). A cold
+        # server therefore gets no more than what the whole fleet would need to get were it warm, times what a
+        # cold server stands, unless warm servers have shown that they can do more.
+        whole = sum(server.size * server.factor for server in capacity) or 1.0
+        factor = COLD_OVERLOAD * self._fleet.overload_factor
+        cold_use = min(use, max(factor * demand / whole, self._levels.proven_use))
         # While shedding, cold servers get less, because overload may become congestion within a period.
-        even = {
-            s: use * size * (0.7 if self._fleet.ramp(s) < 1 and self._levels.is_shedding() else 1.0)
-            for s, size in capacity.items()
-        }
+        cold_use *= 0.7 if self._levels.is_shedding() else 1.0
+        even = {s: (cold_use if self._fleet.ramp(s) < 1 else use) * size for s, size in capacity.items()}
         allocation = Allocation(eligible)
         # Nothing spills to zones without known demand. Under congestion only warm servers get any: proxies
         # avoid full servers, and would all turn to a cold one (rule 4).
@@ -1173,18 +1192,22 @@
             if table.planned
         }
         total = sum(table.planned.values())
+        # Lines without a plan are each left out as too small, but not where together they are a tenth.
+        serving = {s: part for s, part in table.lines.items() if s.published_state is ServerState.SERVING}
+        dropped = {s: part for s, part in serving.items() if table.planned and s not in table.planned}
+        removed = dropped if sum(dropped.values()) > 0.1 * total else {}
         changed = sorted(
             (
                 server
                 for server, move in moves.items()
                 if (move < 0 and ramp(server) < 1)
+                or server in removed
                 or abs(move) > 0.1 * max(table.lines.get(server, 0.0), total / len(table.planned))
             ),
             key=lambda s: (s.published_state is not ServerState.SERVING, ramp(s), -abs(moves[s])),
         )
         # Urgent: where most of a table was withdrawn, the rest gets everything, which overloads a cold server
         # (rule 4).
-        serving = {s: part for s, part in table.lines.items() if s.published_state is ServerState.SERVING}
         has_cold = any(ramp(server) < 1 for server in (*changed, *serving))
         urgency = 0.7 * (has_cold or total > 2 * sum(serving.values())) if serving else 1.0
         extent = sum(abs(moves[server]) for server in changed) / max(1e-9, total)
--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -116,7 +116,7 @@
                 if (index + second) % span == 0
             ]
             for index, server in enumerate(self.servers):
-                count = span * self.tries_per_server
+                count = span * self.tries_at(server)
                 voided = count if server in self.hung else round(count * self.void_rate.get(server, 0.0))
                 mean = round(1500 * self.slowdown.get(server, 1.0)) if voided < count else 0
                 if (index + second) % span == 0:
@@ -124,6 +124,10 @@
             self.deliver(*events, *self.due_events())
         return self.orders[before:]
 
+    def tries_at(self, server: Server) -> int:
+        """The tries a second at a server, as the collectors report them."""
+        return self.tries_per_server
+
     def due_events(self) -> list[Event]:
         return [event for at, event in self._due if at <= self.clock]
 
