Admit a class in part where all servers of its table's plan are cold

Cause: a plan places all demand, at cold servers without a bound where there are no warm ones; levels follow from latency alone. Why it works: weights are relative, so only a level keeps requests from the last servers of a table; it follows from the list and the demand each period. Open: settings that disregard levels.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -71,6 +71,7 @@
 SPLIT_TEAM_LINES = 30  # in a table of a split team, divided by the split
 ROOM_MARGIN = 0.1  # of even use, which is not known more precisely; this much more stays near
 COLD_OVERLOAD = 0.6  # of the multiple of its capacity at which a cold server fails
+UNKNOWN_DEMAND = 1e-3  # txns a second, of a table whose demand is not known
 NEGLIGIBLE = 1e-6  # of a table's demand: rounding errors of the sums
 LARGE_SURPLUS = 0.6  # of the room in other zones
 MAX_OVERCOMMIT_ROUNDS = 20  # each doubles the margin
@@ -730,17 +731,13 @@
         own, peers = self._demand.own_rates(), self._demand.peer_rates()
         active_zones = {zone for zone, product in own if own[zone, product] + peers[zone, product] > 0}
         known = sum(size for server, size in capacity.items() if server.zone in active_zones) or 1.0
-        demand = max(1e-3, sum(own.values()) + sum(peers.values()))
+        demand = max(UNKNOWN_DEMAND, sum(own.values()) + sum(peers.values()))
         use = demand / known
-        # The known demand may be that of one zone, and what that zone has of capacity cold (rule 4). A cold
-        # server therefore gets no more than what the whole fleet would need to get were it warm, times what a
-        # cold server stands, unless warm servers have shown that they can do more.
-        whole = sum(server.size * server.factor for server in capacity) or 1.0
-        factor = COLD_OVERLOAD * self._fleet.overload_factor
-        cold_use = min(use, max(factor * demand / whole, self._levels.proven_use))
+        safe_use = self._safe_use(demand, capacity)
         # While shedding, cold servers get less, because overload may become congestion within a period.
-        cold_use *= 0.7 if self._levels.is_shedding() else 1.0
-        even = {s: (cold_use if self._fleet.ramp(s) < 1 else use) * size for s, size in capacity.items()}
+        spared = 0.7 if self._levels.is_shedding() else 1.0
+        cold = {s: size for s, size in capacity.items() if self._fleet.ramp(s) < 1}
+        even = {s: (spared * min(use, safe_use) if s in cold else use) * size for s, size in capacity.items()}
         allocation = Allocation(eligible)
         # Nothing spills to zones without known demand. Under congestion only warm servers get any: proxies
         # avoid full servers, and would all turn to a cold one (rule 4).
@@ -754,9 +751,22 @@
         self._place_in_zone(allocation, eligible, team_counts)
         self._place_elsewhere(allocation, eligible)
         self._overcommit(allocation, eligible, even)
+        cold_limit = (1 + ROOM_MARGIN) * spared * safe_use
+        self._set_admission(eligible, {server: cold_limit * size for server, size in cold.items()})
         for table in eligible:
             self._set_scale(table)
 
+    def _safe_use(self, demand: float, servers: Collection[Server]) -> float:
+        """The rate for a unit of its present capacity that a cold one of the servers surely stands (rule 4).
+
+        The known demand may be that of one zone, and what that zone has of capacity cold. So it is spread
+        over the whole fleet as if that were warm, times what a cold server stands, unless warm servers have
+        shown that they can do more.
+        """
+        warm_capacity = sum(server.size * server.factor for server in servers) or 1.0
+        stands = COLD_OVERLOAD * self._fleet.overload_factor
+        return max(stands * demand / warm_capacity, self._levels.proven_use)
+
     def _planned_tables(self) -> list[Table]:
         """The tables of all whole teams, and of the split teams that have proxies."""
         proxies = self._outbox.proxies
@@ -785,7 +795,7 @@
             own_rates = [rates[p] for rates in map(self._demand.rates, members[key]) for p in table.products]
             peer_rate = sum(peers[table.zone, product] for product in table.products)
             peer_demand = peer_rate / whole_team_counts[table.zone] if key in whole_teams else 0.0
-            table.demand = max(1e-3, peer_demand + sum(own_rates))
+            table.demand = max(UNKNOWN_DEMAND, peer_demand + sum(own_rates))
 
     def _eligible_servers(self, servers: Collection[Server]) -> dict[Table, list[Server]]:
         """Those of the servers that each planned table may name. Tables with the fewest come first, as they
@@ -862,6 +872,23 @@
         surplus = sum(map(allocation.unplaced, servers)) or 1.0
         return {t: allocation.unplaced(t) / surplus * allocation.room(servers[t]) for t in servers}
 
+    @staticmethod
+    def _set_admission(tables: Iterable[Table], cold_limits: Mapping[Server, float]) -> None:
+        """Sets the part of its demand that each table may admit: less than all where every server of its plan
+        is cold and would get more than its limit (rule 4).
+
+        cold_limits: the rate that each cold server may get.
+        """
+        limited, load, other_load = list[Table](), Counter[Server](), Counter[Server]()
+        for table in tables:
+            table.admission = 1.0
+            is_limited = table.demand > UNKNOWN_DEMAND and table.planned.keys() <= cold_limits.keys()
+            limited += [table] * is_limited
+            (load if is_limited else other_load).update(table.planned)
+        for table in limited:
+            admitted = [max(0.0, cold_limits[s] - other_load[s]) / load[s] for s in table.planned if load[s]]
+            table.admission = min([1.0, *admitted])
+
     @staticmethod
     def _set_scale(table: Table) -> None:
         """Scales the planned weights to the lines that stay, so that these need no change where others come
@@ -1171,8 +1198,11 @@
                 by_level.setdefault(level, []).append(product)
         for level, products in by_level.items():
             # A fifth of the room is kept: levels that changed every period left a table without a line
-            # (rule 1).
-            if self._outbox.has_room(table.gateways, 1, 0.8, self._outbox.priority_lines):
+            # (rule 1). What protects cold servers may use all that the channel has (rule 4).
+            fraction = 0.8 if table.admission >= 1 else 2.0
+            if not table.gateways or self._outbox.has_room(
+                table.gateways, 1, fraction, self._outbox.priority_lines
+            ):
                 # No try after one that may have run (rule 2). Such retries by proxies that lost their manager
                 # would also feed congestion.
                 self._host.set_level(table.number, products, level, Retry.UNSENT)
@@ -1237,7 +1267,7 @@
 
     def _published_level(self, table: Table, product: Product) -> float:
         """A product's level as a ratio, or as the rate for each of the table's proxies."""
-        level = self._levels.level(product)
+        level = min(self._levels.level(product), table.admission)
         if self._unit is not LevelUnit.RATE:
             return round(level, 3)
         # The one rate with which the proxies together admit their share: what idle proxies do not use of it
--- a/rushladder/records.py
+++ b/rushladder/records.py
@@ -104,6 +104,7 @@
         self.index, self.split = index, split
         self.gateways, self.levels = dict[Gateway, None](), dict[Product, float]()
         self.demand, self.planned, self.lines = 0.0, dict[Server, float](), dict[Server, float]()
+        self.admission = 1.0  # the part of the demand that the planned servers can take
 
     def binding_cost(self, whole_lines: int) -> float:
         """The lines of a binding to this table. Products with equal levels share a line.
--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -2,11 +2,13 @@
 
 from collections import Counter
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from rushladder.interface import (
     Availability,
     Channel,
     Entry,
+    LevelUnit,
     Listing,
     ListKind,
     Product,
@@ -14,7 +16,7 @@
     Retry,
     Worker,
 )
-from rushladder.records import Server
+from rushladder.records import Gateway, Server
 from tests.fake_host import ASK, PAY, SECOND, FakeHost
 
 WIDE_CHANNEL = Channel(8000.0, 12_000.0, 3.0, 12, 10 * SECOND, 2000, 5000)
@@ -30,6 +32,7 @@
         size: Callable[[int], float] = lambda index: 1.0,
         products: Sequence[Product] = (ASK, PAY),
         channel: Channel = WIDE_CHANNEL,
+        **overrides: Any,
     ) -> None:
         self.tables, self.bound = dict[int, dict[Worker, float]](), dict[Proxy, dict[Product, int]]()
         self.withdrawn, self.rows, self.empty_bindings = set[Worker](), 0, list[Proxy]()
@@ -40,6 +43,7 @@
             gateway_zones=[zone for zone, count in gateways.items() for _ in range(count)],
             products=products,
             channel=channel,
+            **overrides,
         )
         self.sizes = {server: size(index) for index, server in enumerate(self.servers)}
         self.list_servers(self.servers, ListKind.FULL)
@@ -82,13 +86,21 @@
 
     # What the proxies do with what they hold.
 
+    def admitted_rate(self, proxy: Proxy, table: int, product: Product) -> float:
+        """The txns a second of the product that the proxy lets in."""
+        assert isinstance(proxy, Gateway)
+        rate = self.rates.get(proxy, self.rate)
+        level = self.levels.get((table, product))
+        if level is None:
+            return rate
+        return min(rate, level) if self.manager_args["level_unit"] is LevelUnit.RATE else rate * level
+
     def rates_at_servers(self) -> dict[Worker, float]:
         """The txns a second that the proxies send to each server."""
         rates: dict[Worker, float] = {server: 0.0 for server in self.servers}
         for proxy, tables in self.bound.items():
             for product, table in tables.items():
-                lines = self.usable(table)
-                sent = self.levels.get((table, product), 1.0) * self.rates.get(proxy, self.rate)  # type: ignore[call-overload]
+                lines, sent = self.usable(table), self.admitted_rate(proxy, table, product)
                 for server, weight in lines.items():
                     rates[server] += sent * weight / sum(lines.values())
         return rates
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -2,11 +2,12 @@
 
 import unittest
 from collections.abc import Sequence
+from dataclasses import replace
 
-from rushladder.interface import Availability, Worker
+from rushladder.interface import Availability, LevelUnit, Worker
 from rushladder.records import Server
 from tests.fake_fleet import Fleet
-from tests.fake_host import SECOND
+from tests.fake_host import ASK, PAY, SECOND
 
 CAPACITY = 40.0  # txns a second of a warm server
 GUARANTEE = Fleet({"a": 1}, {}).manager_args["guarantee"]
@@ -65,6 +66,37 @@
                 used = {server.zone for server, rate in fleet.rates_at_servers().items() if rate}
                 self.assertEqual(used, {"c"})  # once they are warm, the zone's own servers have it all again
 
+    def test_class_that_keeps_to_a_zone_of_cold_servers_is_admitted_in_part(self) -> None:
+        # Guards against: a class whose servers are all cold was sent whole to the first one that was listed.
+        tied = replace(PAY, name="tied", home_only=True)
+        for unit in (LevelUnit.RATIO, LevelUnit.RATE):
+            with self.subTest(unit=unit):
+                fleet = ColdFleet(
+                    {"a": 5, "b": 4, "c": 3}, dict.fromkeys("abc", 2), products=(ASK, tied), level_unit=unit
+                )
+                fleet.rate = 22  # 0.55 of what the servers can do
+                fleet.join()
+                fleet.run(15)
+                fleet.crash([server for server in fleet.servers if server.zone == "c"], 7)
+                fleet.run_watched(GUARANTEE.cold_time // SECOND + 5)
+                self.assert_kept(fleet)
+                fleet.run(5)
+                self.assertAlmostEqual(sum(fleet.rates_at_servers().values()), 6 * 2 * 22)  # all is admitted
+
+    def test_fleet_that_starts_cold_together_admits_what_it_can_take(self) -> None:
+        # Guards against: where no server is warm, even use was the demand over what the cold ones can do.
+        fleet = ColdFleet({"a": 4, "b": 4}, {"a": 4, "b": 4})
+        fleet.rate = 18  # 0.9 of what the servers can do
+        fleet.join()
+        fleet.run(15)
+        fleet.list_servers(fleet.servers, state=Availability.GONE)
+        fleet.run(7)
+        fleet.started_at = dict.fromkeys(fleet.servers, fleet.clock)
+        fleet.list_servers(fleet.servers, started_at=fleet.clock)
+        fleet.run_watched(GUARANTEE.cold_time // SECOND + 5)
+        self.assert_kept(fleet)
+        self.assertAlmostEqual(sum(fleet.rates_at_servers().values()), 8 * 2 * 18)
+
 
 if __name__ == "__main__":
     unittest.main()
