Take an excluded server back when the others of a class leave

Cause: that a server is the last one of a product was looked at only as it is excluded, not when the others leave. Change: after each list, excluded servers of a product without another in service in their zone are taken back on trial, those whose last probe was answered if any. Why it works: a server leaves service by the list or by exclusion alone, and both now ask.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -78,7 +78,7 @@
 FORGET_AFTER = 60 * SECOND  # from when a server left until it is forgotten
 # Signals drive a server's state (SERVER_TRANSITIONS) and the load state (LOAD_TRANSITIONS). LIMITED means
 # not overloaded, but with a level still below 1.
-ServerSignal = Enum("ServerSignal", "READY STARTED UNAVAILABLE FAILING RECOVERED ZONE_REACHABLE")
+ServerSignal = Enum("ServerSignal", "READY STARTED UNAVAILABLE FAILING RECOVERED NEEDED ZONE_REACHABLE")
 LoadState = Enum("LoadState", "NORMAL SHEDDING")
 LoadSignal = Enum("LoadSignal", "OVERLOADED LIMITED UNLIMITED")
 
@@ -182,6 +182,22 @@
             server.size, server.started_at = max(entry.size, 1e-3), entry.started_at
             signal = ServerSignal.STARTED if restarted and self.ramp(server) < 1 else ServerSignal.READY
             self._transition(server, signal if ready else ServerSignal.UNAVAILABLE)
+        self._take_back_needed()
+
+    def _take_back_needed(self) -> None:
+        """Takes back excluded servers for each product that has no other one in service in a zone (rule 1).
+
+        A server is excluded only while others serve its products. When these leave, it has to do what it can.
+        """
+        excluded = [server for server in self.servers if server.state is ServerState.EXCLUDED]
+        for zone in dict.fromkeys(server.zone for server in excluded):
+            for product in self._products:
+                if any(product.is_eligible(server, zone) for server in self.in_service()):
+                    continue
+                eligible = [server for server in excluded if product.is_eligible(server, zone)]
+                answering = [server for server in eligible if server.good_probes]
+                for server in answering or eligible:
+                    self._transition(server, ServerSignal.NEEDED)
 
     def forget(self, server: Server) -> None:
         """Forgets a server that has left, with its withdrawal.
@@ -344,6 +360,7 @@
     (ServerState.UNAVAILABLE, ServerSignal.READY): (ServerState.SERVING, Fleet._reset),
     (ServerState.SERVING, ServerSignal.FAILING): (ServerState.EXCLUDED, Fleet._exclude),
     (ServerState.EXCLUDED, ServerSignal.RECOVERED): (ServerState.SERVING, Fleet._start_trial),
+    (ServerState.EXCLUDED, ServerSignal.NEEDED): (ServerState.SERVING, Fleet._start_trial),
     (ServerState.EXCLUDED, ServerSignal.ZONE_REACHABLE): (ServerState.SERVING, Fleet._reset),
     **{(state, ServerSignal.STARTED): (ServerState.SERVING, Fleet._reset) for state in ServerState},
     **{
