Let proxies without a server use one that returns before changes that can wait

Callers would see: a server taken back as the last one of a class stays shut out at its proxies until the channel has room for changes that can wait. Cause: taking back used at most 0.6 of the soft limit, behind all that is owed, whoever needs it. Change: where a table's proxies were told to use none of its servers, it may use the whole soft limit, as that table's lines do. Why it works: the line and the end of its withdrawal ask for the same room.

--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -1136,14 +1136,26 @@
         if unavailable:
             self._withdraw_unavailable(unavailable)
             outbox.priority_lines += outbox.withdrawal_lines
-        for server in [s for s in servers if s.state is not s.published_state and s not in unavailable]:
+        changed = [s for s in servers if s.state is not s.published_state and s not in unavailable]
+        unserved = self._unserved_tables() if changed else []
+        for server in changed:
             # Excluding a failing server waits for room. Taking a server back also waits for the room of its
-            # weight's lines (rule 4).
+            # weight's lines (rule 4), unless proxies have no other (rule 1).
             holders = self._holders(server)
             count = 3 if server.state is ServerState.SERVING else 1
-            if outbox.has_room(holders, count, 0.6, outbox.priority_lines):
+            is_needed = any(server in table.lines for table in unserved)
+            fraction, ahead = (1.0, 0.0) if is_needed else (0.6, outbox.priority_lines)
+            if outbox.has_room(holders, count, fraction, ahead):
                 self._publish_state(server, holders)
 
+    def _unserved_tables(self) -> list[Table]:
+        """The tables that proxies are bound to and whose servers they have all been told not to use."""
+        return [
+            table
+            for table in self._teams.all_tables()
+            if table.gateways and all(s.published_state is not ServerState.SERVING for s in table.lines)
+        ]
+
     def _withdraw_unavailable(self, unavailable: Sequence[Server]) -> None:
         """Withdraws unavailable servers, all together, as most of a message is its overhead.
 
--- a/tests/test_last_servers.py
+++ b/tests/test_last_servers.py
@@ -41,6 +41,19 @@
                         fleet.run(2)
                         self.assertEqual(fleet.without_a_line(), [])
 
+    def test_server_that_returns_as_the_last_one_does_not_wait_for_as_much_room_as_others(self) -> None:
+        # Guards against: a server was taken back, but proxies without another one were told so only when the
+        # channel had room for changes that can wait.
+        fleet, failing, other = self.fleet_with_excluded(HOME_ONLY, hangs=False)
+        fleet.answers_marks = False  # what is sent from now on waits in the channel
+        outbox = fleet.manager._outbox
+        outbox.lines.add(fleet.gateways, 50)
+        outbox._soft_limit = outbox.lines.pending / 0.7
+        fleet.list_servers([other], state=Availability.GONE)
+        fleet.run(2)
+        self.assertNotIn(failing, fleet.withdrawn)
+        self.assertEqual(fleet.without_a_line(), [])
+
 
 if __name__ == "__main__":
     unittest.main()
