Read at most 4 KB of a platform client in one turn

Cause: each turn reads and parses up to 64 KB of every connection, some 11,000 of the smallest messages each. Change: 4 KB a connection and turn; the rest stays in the kernel, whose flow control slows the sender. Why it works: the time between two turns falls by sixteen; a sound client's reports need one read as before.

--- a/rushladder/streams/listener.py
+++ b/rushladder/streams/listener.py
@@ -30,6 +30,9 @@
 JOIN_TIMEOUT_SECONDS = 1.0  # the protocol allows closing a connection that hasn't joined by then
 MAX_UNJOINED_LINE_BYTES = 1024  # before joining: four times the longest line that joins
 MAX_JOINED_LINE_BYTES = 64 * 1024  # after joining: sixty times the longest report
+# Read from a connection in one turn of the reactor; what else it has sent stays in the kernel, so that no
+# client takes the others' time.
+READ_BYTES_PER_TURN = 4096
 # The newest clients that have not joined stay, however many connections are open: proxies that are about to
 # join are among them.
 MIN_UNIDENTIFIED = 8
@@ -49,6 +52,7 @@
     def connectionMade(self) -> None:
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
+        transport.bufferSize = READ_BYTES_PER_TURN
         self._join_timer: Any = self.listener.clock.callLater(
             JOIN_TIMEOUT_SECONDS, self.refuse, "unjoined", "has not joined in time"
         )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -60,7 +60,12 @@
     parse_load_report,
 )
 from rushladder.streams.host import StreamHost
-from rushladder.streams.listener import JOIN_TIMEOUT_SECONDS, Connection, Listener
+from rushladder.streams.listener import (
+    JOIN_TIMEOUT_SECONDS,
+    READ_BYTES_PER_TURN,
+    Connection,
+    Listener,
+)
 from tests.fake_host import ASK, PAY, SECOND, FakeHost
 
 MANAGER_ARGS: dict[str, Any] = FakeHost().manager_args
@@ -78,6 +83,8 @@
 class MemoryTransport(StringTransport):
     """A connection in memory, with a helper to read the lines written to it."""
 
+    bufferSize = 0
+
     def setTcpNoDelay(self, on: bool) -> None:
         pass
 
@@ -277,6 +284,12 @@
         self.assertEqual([transport.disconnecting for transport in joined], [False] * 8)
         self.assertEqual(len(self.host.joined_proxies), 8)
 
+    def test_one_client_takes_a_bounded_part_of_a_turn(self) -> None:
+        # Guards against: 64 KB of small messages of each connection were handled in one turn, and forty such
+        # connections kept a sound client's PING waiting for over two seconds.
+        _, transport = self.connect()
+        self.assertEqual(transport.bufferSize, READ_BYTES_PER_TURN)
+
     def test_input_after_a_refusal_is_ignored(self) -> None:
         connection, transport = self.connect(b"HELLO\r\n")
         connection.dataReceived(b"SUBSCRIBE proxy=1 zone=a weight=1 fresh=1\r\n")
