Reset platform clients that leave 128 KiB of answers unread

Cause: an answer was written whatever its client had left unread; a refusal closes regularly, which first flushes the output. A refused client whose output is stuck is reset at once, any other after a second. Why it works: what waits for a connection is merged orders and at most 128 KiB of answers.

--- a/rushladder/streams/listener.py
+++ b/rushladder/streams/listener.py
@@ -33,6 +33,9 @@
 # Read from a connection in one turn of the reactor; what else it has sent stays in the kernel, so that no
 # client takes the others' time.
 READ_BYTES_PER_TURN = 4096
+# Answers that a client may leave unread, beside what the kernel holds: the protocol's limit.
+MAX_UNREAD_ANSWER_BYTES = 128 * 1024
+CLOSE_TIMEOUT_SECONDS = 1.0  # for the last answer to a refused client that does not read
 # The newest clients that have not joined stay, however many connections are open: proxies that are about to
 # join are among them.
 MIN_UNIDENTIFIED = 8
@@ -48,12 +51,14 @@
         self.listener, self.state, self.reader = listener, State.UNJOINED, LineReader(MAX_UNJOINED_LINE_BYTES)
         self.proxy_number, self.zone = -1, ""
         self.joined: JoinedProxy | None = None
+        self.paused, self._unread_answers = False, 0  # bytes answered since the client stopped reading
 
     def connectionMade(self) -> None:
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
         transport.bufferSize = READ_BYTES_PER_TURN
-        self._join_timer: Any = self.listener.clock.callLater(
+        transport.registerProducer(self, True)
+        self._timer: Any = self.listener.clock.callLater(
             JOIN_TIMEOUT_SECONDS, self.refuse, "unjoined", "has not joined in time"
         )
         self.listener.connection_opened(self)
@@ -81,8 +86,8 @@
 
     def connectionLost(self, reason: Any = None) -> None:
         self.state = State.CLOSING
-        if self._join_timer.active():
-            self._join_timer.cancel()
+        if self._timer.active():
+            self._timer.cancel()
         self.listener.connection_closed(self)
 
     def refuse(self, kind: str, reason: str) -> None:
@@ -91,14 +96,17 @@
         transport: Any = self.transport
         self.listener.warn(f"refused.{kind}", reason)
         self.listener.detach(self)
-        if self.zone:
+        if self.zone or self.paused:
             # No NACK: a collector is never written to, and a proxy is written only orders. Aborted, as a
             # regular close first flushes the output: a client that stopped reading would keep the connection
             # and its descriptor forever.
-            transport.abortConnection()
-        else:
-            transport.write(NACK)
-            transport.loseConnection()
+            return transport.abortConnection()  # type: ignore[no-any-return]
+        transport.write(NACK)
+        transport.unregisterProducer()
+        transport.loseConnection()
+        if self._timer.active():
+            self._timer.cancel()
+        self._timer = self.listener.clock.callLater(CLOSE_TIMEOUT_SECONDS, transport.abortConnection)
 
     def abort(self) -> None:
         """Closes the connection at once: a newer stream of the same proxy has replaced it."""
@@ -113,10 +121,12 @@
     # Flow control: while a stream is paused, the host merges its pending orders.
 
     def pauseProducing(self) -> None:
+        self.paused = True
         if self.joined is not None:
             self.joined.paused = True
 
     def resumeProducing(self) -> None:
+        self.paused, self._unread_answers = False, 0
         if self.joined is not None and self.state is State.STREAM:
             self.joined.paused = False
             self.listener.host.write(self.joined)
@@ -127,10 +137,13 @@
     # Handlers of the messages, for TRANSITIONS.
 
     def _pong(self, message: Ping) -> None:
+        self._unread_answers += len(PONG) if self.paused else 0
+        if self._unread_answers > MAX_UNREAD_ANSWER_BYTES:
+            return self.refuse("unread", "has left too many answers unread")
         self.send(PONG)
 
     def _join_completed(self) -> None:
-        self._join_timer.cancel()
+        self._timer.cancel()
         self.reader.max_line_bytes = MAX_JOINED_LINE_BYTES
 
     def _source(self, message: Source) -> None:
@@ -145,8 +158,6 @@
             return self.refuse("joining", "SUBSCRIBE names a zone or proxy that does not exist")
         self.proxy_number, self.zone = message.proxy, message.zone
         self._join_completed()
-        transport: Any = self.transport
-        transport.registerProducer(self, True)
         self.listener.add_stream(self, message)
 
     def _load(self, message: Load) -> None:
@@ -296,3 +307,4 @@
         for event in self.host.join(message.proxy, message.zone, message.weight, message.fresh, connection):
             self.add_event(event)
         connection.joined = self.host.joined_proxies[message.proxy]
+        connection.joined.paused = connection.paused
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -61,7 +61,9 @@
 )
 from rushladder.streams.host import StreamHost
 from rushladder.streams.listener import (
+    CLOSE_TIMEOUT_SECONDS,
     JOIN_TIMEOUT_SECONDS,
+    MAX_UNREAD_ANSWER_BYTES,
     READ_BYTES_PER_TURN,
     Connection,
     Listener,
@@ -284,12 +286,46 @@
         self.assertEqual([transport.disconnecting for transport in joined], [False] * 8)
         self.assertEqual(len(self.host.joined_proxies), 8)
 
+    def test_client_that_reads_no_answers_is_reset(self) -> None:
+        # Guards against: each PING was answered whatever its client had left unread, and memory grew for as
+        # long as it went on.
+        for first in (b"", b"SOURCE zone=a\r\n", b"SUBSCRIBE proxy=1 zone=a weight=1 fresh=1\r\n"):
+            with self.subTest(first=first):
+                connection, transport = self.connect(*filter(None, [first]))
+                connection.pauseProducing()  # the kernel takes no more of its answers
+                pings = b"PING\r\n" * 100
+                for _ in range(2 * MAX_UNREAD_ANSWER_BYTES // len(pings)):
+                    if not transport.disconnected:
+                        connection.dataReceived(pings)
+                self.assertTrue(transport.disconnected)
+                self.assertLessEqual(len("".join(transport.lines())), MAX_UNREAD_ANSWER_BYTES)
+                self.assertEqual(self.warnings[-1][0], "refused.unread")
+
+    def test_client_that_reads_its_answers_may_send_any_number(self) -> None:
+        connection, transport = self.connect(b"SOURCE zone=a\r\n")
+        for _ in range(3):
+            connection.pauseProducing()
+            connection.dataReceived(b"PING\r\n" * (MAX_UNREAD_ANSWER_BYTES // len(b"PONG\r\n")))
+            connection.resumeProducing()
+        self.assertFalse(transport.disconnected)
+
     def test_one_client_takes_a_bounded_part_of_a_turn(self) -> None:
         # Guards against: 64 KB of small messages of each connection were handled in one turn, and forty such
         # connections kept a sound client's PING waiting for over two seconds.
         _, transport = self.connect()
         self.assertEqual(transport.bufferSize, READ_BYTES_PER_TURN)
 
+    def test_refused_client_that_does_not_read_keeps_no_connection(self) -> None:
+        # Guards against: a regular close first flushes the output, which never ends for such a client.
+        _, transport = self.connect(b"HELLO\r\n")
+        self.assertEqual((transport.lines(), transport.disconnected), (["NACK"], False))
+        self.clock.advance(CLOSE_TIMEOUT_SECONDS)
+        self.assertTrue(transport.disconnected)
+        paused, transport = self.connect(b"PING\r\n")
+        paused.pauseProducing()
+        self.clock.advance(JOIN_TIMEOUT_SECONDS)
+        self.assertTrue(transport.disconnected)
+
     def test_input_after_a_refusal_is_ignored(self) -> None:
         connection, transport = self.connect(b"HELLO\r\n")
         connection.dataReceived(b"SUBSCRIBE proxy=1 zone=a weight=1 fresh=1\r\n")
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -567,6 +567,20 @@
         fields = Path(f"/proc/{manager.process.pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
+    def test_client_that_reads_no_answers_is_reset_and_others_are_answered(self) -> None:
+        # Guards against: answers to a client that reads none of them filled memory without end.
+        manager, _, proxy = self.start_manager()
+        flooding = manager.connect()
+        flooding.send(b"SOURCE zone=a\r\n")
+        pings = b"PING\r\n" * 1000
+        with self.assertRaises(ConnectionError):
+            for _ in range(10_000):  # 60 MB, more than the kernel holds of both directions
+                flooding.send(pings)
+        manager.logged("refused.unread")
+        for other in (proxy, manager.connect()):
+            other.send(b"PING\r\n")
+            other.until("PONG")
+
     def test_silent_collector_stays_connected_beside_a_newer_one(self) -> None:
         manager, _, _ = self.start_manager()
         first, second = manager.connect(), manager.connect()
