Keep an incomplete payload of the runtime socket as its bytes

Cause: the bound counts the bytes of the wire; what was kept was a list of the lines, some 60 bytes for each. Change: kept as bytes, split once complete. Why it works: a connection that waits keeps at most the payload's bound and a line.

--- a/rushladder/runtime/grammar.py
+++ b/rushladder/runtime/grammar.py
@@ -140,7 +140,8 @@
         self._max_line_bytes, self._max_payload_bytes = max_line_bytes, max_payload_bytes
         self._state, self._buffer, self._requests = State.LINE, b"", list[Request | Overlong]()
         self._payload_commands: tuple[tuple[str, ...], ...] = ()
-        self._payload_lines, self._size, self._terminator = list[str](), 0, ""
+        # An incomplete payload is kept as its bytes: a list of short lines takes a dozen times that.
+        self._payload, self._terminator = bytearray(), ""
 
     @property
     def in_payload(self) -> bool:
@@ -182,27 +183,27 @@
 
     def _begin_payload(self, text: str) -> None:
         line, self._terminator = text.rsplit(" ", 1)[0], text.rsplit("<<", 1)[1]
-        self._payload_commands, self._payload_lines, self._size = split_commands(line), [], 0
+        self._payload_commands, self._payload = split_commands(line), bytearray()
 
     def _add_payload_line(self, text: str) -> None:
-        self._size += len(text) + 1
-        if self._size > self._max_payload_bytes:
+        self._payload += text.encode() + b"\n"
+        if len(self._payload) > self._max_payload_bytes:
             self._state = State.SKIP_PAYLOAD
-            return self._payload_too_long(text)
-        self._payload_lines.append(text)
+            self._payload_too_long(text)
 
     def _finish_payload(self, text: str) -> None:
         commands = [Command(words) for words in self._payload_commands]
         if commands:
-            commands[-1] = Command(commands[-1].words, tuple(self._payload_lines))
+            lines = self._payload.decode().split("\n")[:-1]
+            commands[-1] = Command(commands[-1].words, tuple(lines))
         self._requests.append(Request(tuple(commands)))
-        self._payload_lines = []
+        self._payload = bytearray()
 
     def _line_too_long(self, text: str) -> None:
         self._requests.append(Overlong("line", self._max_line_bytes))
 
     def _payload_too_long(self, text: str) -> None:
-        self._payload_lines = []
+        self._payload = bytearray()
         self._requests.append(Overlong("payload", self._max_payload_bytes))
 
 
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -1,5 +1,6 @@
 """Tests of the runtime API's parsers and protocols, with in-memory transports and a virtual clock."""
 
+import tracemalloc
 import unittest
 from typing import Any
 
@@ -20,6 +21,7 @@
     RuntimeServer,
 )
 from rushladder.runtime.grammar import (
+    MAX_PAYLOAD_BYTES,
     AnswerParser,
     AnswerTooLong,
     Command,
@@ -85,6 +87,19 @@
         found = CommandParser(100, 20).feed(b"add map m <<\n" + b"key value\n" * 9 + b"\nshow info\n")
         self.assertEqual(found, [Overlong("payload", 20), Request((Command(("show", "info")),))])
 
+    def test_an_incomplete_payload_of_short_lines_is_kept_as_its_bytes(self) -> None:
+        # Guards against: hundreds of clients half way through a payload of short lines, each kept as a list
+        # of them, filled memory.
+        parser = CommandParser()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for _ in range(30):
+            parser.feed(b"abc\n" * 1000 if parser.in_payload else b"set map levels <<\n")
+        self.assertLess(tracemalloc.get_traced_memory()[0], 1.5 * MAX_PAYLOAD_BYTES)
+        (request,) = parser.feed(b"\n")
+        assert isinstance(request, Request)
+        self.assertEqual(request.commands[0].payload, ("abc",) * 29_000)
+
     def test_escapes_and_several_commands_in_a_line(self) -> None:
         self.assertEqual(split_commands(r"a b\ c;;d\;e ; f\\"), (("a", "b c"), ("d;e",), ("f\\",)))
 
