--- a/rushladder/service/api.py
+++ b/rushladder/service/api.py
@@ -259,7 +259,9 @@
         if spec.level > level:
             return "Permission denied\n"
         memory = self._manager.memory
-        now = memory.now() if memory is not None else 0
+        now = memory.now() if memory is not None else int(self._manager.clock.seconds() * 1000)
+        if memory is None:  # otherwise the store evicts them, together with their records
+            self._journal.expire(now)
         effect = self._journal.begin(command_id, text, is_idempotent(spec.words), now)
         if effect is Effect.ANSWER:
             return self._journal[command_id].answer
--- a/rushladder/store/commands.py
+++ b/rushladder/store/commands.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from rushladder.store.memory import MAX_COMMANDS, MAX_COMMAND_AGE
+from rushladder.store.memory import MAX_COMMAND_AGE, MAX_COMMAND_BYTES, MAX_COMMANDS
 from rushladder.store.store_pb2 import CommandMemory
 
 # Characters of an id and of a command's text. The longest command is a version's line of factors.
@@ -58,7 +58,7 @@
 class Effect(Enum):
     """What to do with a request.
 
-    The last three values complete the answer "Not carried out: ...", which scripts read.
+    The last four values complete the answer "Not carried out: ...", which scripts read.
     """
 
     RUN = "journal the command, run it, journal its answer"
@@ -66,6 +66,7 @@
     WAIT = "it is being carried out"
     UNKNOWN = "it is not known whether it ran"
     REFUSE = "the id is taken by another command"
+    FULL = "too many ids of the last day are kept; send it without an id, or later"
 
 
 EFFECTS: dict[tuple[State, Request], Effect] = {
@@ -91,6 +92,10 @@
     state: State
     answer: str = ""
 
+    def size(self) -> int:
+        """The characters that it keeps."""
+        return len(self.command) + len(self.answer)
+
     def payload(self) -> bytes:
         """The entry as it is stored."""
         return CommandMemory(
@@ -99,18 +104,19 @@
 
 
 class Journal:
-    """Commands by id, bounded in number and age. A running command is never evicted.
+    """Commands by id. Each is kept for its whole time, so that it can't be carried out again: when the
+    journal is full, a command with a new id is refused. A running command is never evicted.
 
     stored: the records of earlier incarnations; now: the current time.
     """
 
     def __init__(self, stored: Iterable[tuple[str, CommandMemory]] = (), now: int = 0) -> None:
-        self._entries = dict[str, JournalEntry]()
+        self._entries, self._size = dict[str, JournalEntry](), 0
         self.answered_from_journal = self.unknown_outcomes = 0
         for command_id, record in sorted(stored, key=lambda pair: pair[1].at):
             if now - record.at < MAX_COMMAND_AGE:
                 state = State.ANSWERED if record.answered else State.INTERRUPTED
-                self._entries[command_id] = JournalEntry(record.words, record.at, state, record.answer)
+                self._add(command_id, JournalEntry(record.words, record.at, state, record.answer))
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -126,31 +132,43 @@
         if entry is not None and entry.command != command:
             request = Request.DIFFERENT
         effect = EFFECTS[state, request]
+        if entry is None and (len(self._entries) >= MAX_COMMANDS or self._size >= MAX_COMMAND_BYTES):
+            effect = Effect.FULL
         self.answered_from_journal += effect is Effect.ANSWER
         self.unknown_outcomes += effect is Effect.UNKNOWN
         if effect is Effect.RUN:
-            self._entries[command_id] = JournalEntry(command, now, State.RUNNING)
+            self._remove(command_id)
+            self._add(command_id, JournalEntry(command, now, State.RUNNING))
         return effect
 
     def record_answer(self, command_id: str, answer: str) -> JournalEntry:
         """Marks a command as done and keeps its answer for repeats."""
         entry = self._entries[command_id]
+        self._size += len(answer) - len(entry.answer)
         entry.state, entry.answer = State.ANSWERED, answer
         return entry
 
     def cancel(self, command_id: str) -> None:
         """Frees the id of a command that was not run because its entry could not be made durable."""
-        self._entries.pop(command_id, None)
+        self._remove(command_id)
 
     def expire(self, now: int) -> list[str]:
-        """Evicts entries that are too old, and the oldest ones above the maximum. Returns their ids."""
-        done = [command_id for command_id, entry in self._entries.items() if entry.state is not State.RUNNING]
-        excess = max(0, len(self._entries) - MAX_COMMANDS)
-        expired = [
-            command_id
-            for k, command_id in enumerate(done)
-            if k < excess or now - self._entries[command_id].at >= MAX_COMMAND_AGE
-        ]
+        """Evicts entries that are too old. Returns their ids."""
+        expired = list[str]()
+        for command_id, entry in self._entries.items():
+            if now - entry.at < MAX_COMMAND_AGE:
+                break  # they are in the order of their times
+            if entry.state is not State.RUNNING:
+                expired.append(command_id)
         for command_id in expired:
-            del self._entries[command_id]
+            self._remove(command_id)
         return expired
+
+    def _add(self, command_id: str, entry: JournalEntry) -> None:
+        self._entries[command_id] = entry
+        self._size += len(command_id) + entry.size()
+
+    def _remove(self, command_id: str) -> None:
+        entry = self._entries.pop(command_id, None)
+        if entry is not None:
+            self._size -= len(command_id) + entry.size()
--- a/rushladder/store/memory.py
+++ b/rushladder/store/memory.py
@@ -87,8 +87,8 @@
 # Added to a gateway's stored epoch, because the records of the latest claims may be lost in a crash. A claim
 # takes two seconds, and no crash loses minutes of records.
 EPOCH_MARGIN = 100
-# Number of commands whose answers are kept, and for how long. A script repeats a command within minutes.
-MAX_COMMANDS, MAX_COMMAND_AGE = 1000, DAY
+# Commands whose answers are kept, and for how long: their number, and the bytes of ids, texts and answers.
+MAX_COMMANDS, MAX_COMMAND_BYTES, MAX_COMMAND_AGE = 10_000, 4 << 20, DAY
 MAX_REFUSALS = 200  # the same as in the guard's own history
 # Relative change of a pace or factor that is worth a record, and the age at which an unchanged record is
 # written again because its weight decays.
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -26,6 +26,8 @@
     EPOCH_MARGIN,
     FRESH_REPORTS,
     HOUR,
+    MAX_COMMAND_BYTES,
+    MAX_COMMANDS,
     MINORS,
     MINUTE,
     SECOND,
@@ -147,16 +149,24 @@
         self.assertIs(journal.begin("x", "commit table", False, NOW), Effect.UNKNOWN)
         self.assertIs(journal.begin("y", "set", True, NOW), Effect.RUN)
 
-    def test_the_journal_is_bounded_in_size_and_age(self) -> None:
-        journal = Journal()
-        for k in range(1500):
-            journal.begin(f"c{k}", "show info", True, NOW + k)
-            if k:
-                journal.record_answer(f"c{k}", "")
-            journal.expire(NOW + k)
-        self.assertEqual(len(journal), 1000)
-        journal.expire(NOW + 2 * DAY)
-        self.assertEqual(len(journal), 1)  # the command that is still running
+    def test_the_journal_is_bounded_and_forgets_no_id_before_its_time(self) -> None:
+        # Guards against: an id that a thousand others had followed was forgotten, and its command carried out
+        # again; and, without a store, ids that were kept for good.
+        for answer, most in (("", MAX_COMMANDS), ("x" * 4096, MAX_COMMAND_BYTES // 4096 + 1)):
+            journal, effects = Journal(), list[Effect]()
+            for k in range(MAX_COMMANDS + 500):
+                effects.append(journal.begin(f"c{k}", "show info", False, NOW + k))
+                if k and effects[-1] is Effect.RUN:
+                    journal.record_answer(f"c{k}", answer)
+                if k % 100 == 0:
+                    journal.expire(NOW + k)
+            self.assertLessEqual(len(journal), most)
+            self.assertEqual(set(effects[len(journal) :]), {Effect.FULL})
+            again = {journal.begin(f"c{k}", "show info", False, NOW) for k in range(1, len(journal))}
+            self.assertEqual(again, {Effect.ANSWER})
+            journal.expire(NOW + 2 * DAY)
+            self.assertEqual(len(journal), 1)  # the command that is still running
+            self.assertIs(journal.begin("new", "show info", False, NOW + 2 * DAY), Effect.RUN)
 
 
 class PersistentCluster(FakeCluster):
