--- a/rushladder/brain.py
+++ b/rushladder/brain.py
@@ -1251,22 +1251,18 @@
             if table.planned
         }
         total = sum(table.planned.values())
-        # Lines without a plan are each left out as too small, but not where together they are a tenth.
-        serving = {s: part for s, part in table.lines.items() if s.published_state is ServerState.SERVING}
-        dropped = {s: part for s, part in serving.items() if table.planned and s not in table.planned}
-        removed = dropped if sum(dropped.values()) > 0.1 * total else {}
         changed = sorted(
             (
                 server
                 for server, move in moves.items()
                 if (move < 0 and ramp(server) < 1)
-                or server in removed
                 or abs(move) > 0.1 * max(table.lines.get(server, 0.0), total / len(table.planned))
             ),
             key=lambda s: (s.published_state is not ServerState.SERVING, ramp(s), -abs(moves[s])),
         )
         # Urgent: where most of a table was withdrawn, the rest gets everything, which overloads a cold server
         # (rule 4).
+        serving = {s: part for s, part in table.lines.items() if s.published_state is ServerState.SERVING}
         has_cold = any(ramp(server) < 1 for server in (*changed, *serving))
         urgency = 0.7 * (has_cold or total > 2 * sum(serving.values())) if serving else 1.0
         extent = sum(abs(moves[server]) for server in changed) / max(1e-9, total)
