--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -195,6 +195,17 @@
                 break
         self.assertTrue(transport.disconnected)
 
+    def test_payloads_that_wait_behind_a_slow_command_are_kept_as_their_bytes(self) -> None:
+        # Guards against: payloads of short lines that wait take fifteen times their bytes.
+        server, _ = self.server()
+        server.dataReceived(b"prompt\nshow slow\n")
+        payload = b"set server <<\n" + b"abc\n" * 10_000 + b"\n"
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for _ in range(20):
+            server.dataReceived(payload)
+        self.assertLess(tracemalloc.get_traced_memory()[0], 2 * 20 * len(payload))
+
     def test_connections_over_the_limit_are_refused(self) -> None:
         factory = RuntimeFactory(self.commands, Level.USER, self.clock, max_connections=1)
         first = factory.buildProtocol(None)
